--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -6,11 +6,14 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use crate::command::{CommandError, logging, print, runtime};
+use crate::command::{CommandError, failed, logging, print, runtime};
 use crate::connection::host_list::HttpHostList;
 use crate::connection::service::HttpUpstreams;
 use crate::connection::store::{HttpStore, StoreClientSettings};
+use crate::platform;
 use crate::prelude::*;
+use crate::process::forwarding::host::ForwardHost;
+use crate::process::forwarding::settings::ForwardingSettings;
 use crate::process::node::Node;
 use crate::process::node::outside::Outside;
 use crate::process::settings::Settings;
@@ -27,6 +30,9 @@
     let _logger = logging::start(&settings.log_level)?;
     let mut signals = Signals::new([SIGTERM, SIGINT])
         .map_err(|e| CommandError::Failed(format!("signals can't be handled: {e}")))?;
+    if let Some(forwarding) = settings.forwarding.clone() {
+        return runtime()?.block_on(forward(settings, forwarding, signals));
+    }
     runtime()?.block_on(async {
         let node = start(settings).await?;
         log::info!(address:% = node.callers_address; "serving callers");
@@ -44,6 +50,32 @@
     })
 }
 
+/// Runs a host that forwards whole requests, until a signal.
+async fn forward(
+    settings: Settings,
+    forwarding: ForwardingSettings,
+    mut signals: Signals,
+) -> Result<(), CommandError> {
+    let host = settings.host.clone();
+    let outside = platform::connect(forwarding.store_address);
+    let started = ForwardHost::start(settings, forwarding, outside).await;
+    let node = started.map_err(failed(
+        "host can't start; check the addresses in [callers], [operators] and [peer]",
+    ))?;
+    log::info!(target: "host", "{host} started, version {}, serving callers at {}", env!("CARGO_PKG_VERSION"), node.callers_address);
+    let (tx, rx) = tokio::sync::oneshot::channel();
+    std::thread::spawn(move || {
+        let signal = signals.forever().next();
+        let _ = tx.send(signal);
+    });
+    // The sender lives until a signal has come.
+    let _ = rx.await;
+    log::info!(target: "host", "{host} stops; open requests finish");
+    node.drain().await;
+    log::info!(target: "host", "{host} ends");
+    Ok(())
+}
+
 async fn start(settings: Settings) -> Result<Node, CommandError> {
     let started = if let Some(store) = settings.store_address {
         let store = HttpStore::new(&store.to_string(), StoreClientSettings::default());
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -1,10 +1,13 @@
 //! What lives as long as a connection. Encodings of messages live only here.
 
 pub mod caller;
+pub mod caller_body;
 pub mod caller_io;
+pub mod caller_listener;
 pub mod codec;
 pub mod completion;
 pub mod engine;
+pub mod forward;
 pub mod host_list;
 pub mod http_client;
 pub mod operator;
--- a/src/connection/caller/response.rs
+++ b/src/connection/caller/response.rs
@@ -1,24 +1,19 @@
 //! Answers and refusals as HTTP responses.
 
-use std::convert::Infallible;
-
 use bytes::Bytes;
 use futures_util::stream;
 use http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
-use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::Response;
 use hyper::body::Frame as BodyFrame;
 use tokio::sync::OwnedSemaphorePermit;
 
+use crate::connection::caller_listener::{BodyError, ResponseBody};
 use crate::connection::completion::{Encoder, refusal_json};
 use crate::prelude::*;
 use crate::request::flow::{AnswerEvent, CompletionAnswer};
 use crate::request::service::ServiceAnswer;
 
-/// The body of a response.
-pub(super) type ResponseBody = UnsyncBoxBody<Bytes, Infallible>;
-
 /// Streams an answer, which keeps its prompt and thus the `memory` of the request to the end. The body drops the answer when the caller's connection closes, which cancels it everywhere.
 pub(super) fn stream_response(
     answer: CompletionAnswer,
@@ -36,7 +31,10 @@
                 Ok(event @ AnswerEvent::End { .. }) => (encoder.event(&event), None),
                 Err(refusal) => (Encoder::failure(&refusal), None),
             };
-            Some((Ok(BodyFrame::data(Bytes::from(bytes))), rest))
+            Some((
+                Ok::<_, BodyError>(BodyFrame::data(Bytes::from(bytes))),
+                rest,
+            ))
         }
     });
     let mut response = Response::new(StreamBody::new(events).boxed_unsync());
@@ -65,7 +63,7 @@
 }
 
 pub(super) fn service_response(answer: ServiceAnswer) -> Response<ResponseBody> {
-    let mut response = Response::new(Full::new(answer.body).boxed_unsync());
+    let mut response = Response::new(whole_body(answer.body));
     if let Ok(status) = http::StatusCode::from_u16(answer.status) {
         *response.status_mut() = status;
     }
@@ -81,7 +79,8 @@
     response
 }
 
-pub(super) fn refusal_response(refusal: &Refusal) -> Response<ResponseBody> {
+/// Writes a refusal.
+pub fn refusal_response(refusal: &Refusal) -> Response<ResponseBody> {
     let mut response = json_response(refusal_json(refusal));
     if let Ok(status) = http::StatusCode::from_u16(refusal.kind.status()) {
         *response.status_mut() = status;
@@ -94,8 +93,15 @@
     response
 }
 
+/// Makes a body of bytes that are all there.
+pub fn whole_body(bytes: Bytes) -> ResponseBody {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
 fn json_response(body: Vec<u8>) -> Response<ResponseBody> {
-    let mut response = Response::new(Full::new(Bytes::from(body)).boxed_unsync());
+    let mut response = Response::new(whole_body(Bytes::from(body)));
     set_content_type(&mut response, "application/json");
     response
 }
--- /dev/null
+++ b/src/connection/forward/front.rs
@@ -0,0 +1,118 @@
+//! The HTTP front for requests that are passed on whole.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use async_trait::async_trait;
+use http::header::{CONNECTION, HeaderValue};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+
+use crate::connection::caller::refusal_response;
+use crate::connection::caller_body::BodyReader;
+use crate::connection::caller_listener::{CallerHandler, CallerSettings, ResponseBody};
+use crate::connection::forward::headers::remove_hop_headers;
+use crate::prelude::*;
+use crate::request::forward::call::{Call, CallHead};
+use crate::request::forward::flow::{Admitted, ForwardServices, admit, run};
+use crate::request::forward::record::ForwardRecord;
+
+/// The front for forwarded requests.
+pub struct ForwardFront {
+    cx: Arc<ForwardServices>,
+    bodies: BodyReader,
+    draining: AtomicBool,
+}
+
+impl ForwardFront {
+    /// Creates a front.
+    pub fn new(cx: Arc<ForwardServices>, settings: &CallerSettings) -> Arc<Self> {
+        Arc::new(Self {
+            cx,
+            bodies: BodyReader::new(settings),
+            draining: AtomicBool::new(false),
+        })
+    }
+
+    /// Has every connection end with its next answer.
+    pub fn start_draining(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    async fn dispatch(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+        let arrived = self.cx.clock.now();
+        let (parts, body) = req.into_parts();
+        let head = match self.cx.codec.read_call(&parts) {
+            Ok(head) => head,
+            Err(refusal) => {
+                self.bodies.discard(body).await;
+                log::info!(target: "request", "id=- outcome=refused: {refusal}");
+                return refusal_response(&refusal);
+            }
+        };
+        let table = self.cx.state.tables.current();
+        let clock = self.cx.clock.clone();
+        let record = ForwardRecord::start(clock, &head, table.version, arrived);
+        let admitted = match admit(&table, &head, parts.uri.path()) {
+            Ok(admitted) => admitted,
+            Err(refusal) => {
+                self.bodies.discard(body).await;
+                return self.refuse(&head, record, &refusal);
+            }
+        };
+        let body = match self.bodies.read(body).await {
+            Ok(body) => body,
+            Err(refusal) => return self.refuse(&head, record, &refusal),
+        };
+        let (body, memory) = body;
+        let Admitted { route, customer } = admitted;
+        let patience = head.patience.unwrap_or(self.cx.settings.default_deadline);
+        let patience = route.timeout.map_or(patience, |timeout| timeout.min(patience));
+        let id = head.id.clone();
+        let call = Arc::new(Call {
+            head,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            route,
+            customer,
+            deadline: arrived + patience,
+            arrived,
+        });
+        let response = run(self.cx.clone(), call, record).await;
+        drop(memory);
+        match response {
+            Ok(mut response) => {
+                remove_hop_headers(response.headers_mut());
+                response
+            }
+            Err(refusal) => self.with_id(&id, refusal_response(&refusal)),
+        }
+    }
+
+    fn refuse(&self, head: &CallHead, record: ForwardRecord, refusal: &Refusal) -> Response<ResponseBody> {
+        record.refused(refusal);
+        self.with_id(&head.id, refusal_response(refusal))
+    }
+
+    /// Names the request in an answer of the router's own.
+    fn with_id(&self, id: &str, mut response: Response<ResponseBody>) -> Response<ResponseBody> {
+        if let Some((name, value)) = self.cx.codec.request_header(id) {
+            response.headers_mut().insert(name, value);
+        }
+        response
+    }
+}
+
+#[async_trait]
+impl CallerHandler for ForwardFront {
+    async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+        let mut response = self.dispatch(req).await;
+        if self.draining.load(Ordering::Relaxed) {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/src/connection/forward/upstream_pool.rs
@@ -0,0 +1,251 @@
+//! Kept connections to upstreams.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Weak};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::header::CONNECTION;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use crate::process::shard::Shards;
+use crate::request::forward::link::{BodyError, SendFailure, SendLimits, UpstreamBody, UpstreamLink};
+
+/// The idle connections kept to one upstream. A host sends an upstream a few calls at once.
+const MAX_IDLE: usize = 4;
+
+/// The time for which a connection is kept whose upstream states none.
+const DEFAULT_KEEP: Duration = Duration::from_secs(4);
+
+/// What is taken off the time for which an upstream keeps an idle connection, so that no call crosses its close.
+const KEEP_MARGIN: Duration = Duration::from_millis(600);
+
+/// The task that drives a connection; the connection closes when it is dropped.
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// An open connection.
+struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    _driver: Driver,
+}
+
+/// An idle connection.
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Connections to upstreams that are kept between calls.
+#[derive(Default)]
+pub struct UpstreamPool {
+    idle: Shards<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl UpstreamPool {
+    /// Creates a pool without connections.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self::default())
+    }
+
+    /// Takes an idle connection on which a call can be sent now.
+    fn take(&self, to: SocketAddr) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.lock(&to);
+        let kept = idle.get_mut(&to)?;
+        kept.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+        let ready = kept.iter().rposition(|idle| idle.connection.sender.is_ready())?;
+        Some(kept.swap_remove(ready).connection)
+    }
+
+    fn keep(&self, to: SocketAddr, connection: Connection, keep: Duration) {
+        let mut idle = self.idle.lock(&to);
+        let kept = idle.entry(to).or_default();
+        let now = Instant::now();
+        kept.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+        if kept.len() < MAX_IDLE {
+            let until = now + keep;
+            kept.push(Idle { connection, until });
+        }
+    }
+
+    async fn open(to: SocketAddr, timeout: Duration) -> Result<Connection, SendFailure> {
+        let unreachable = |cause: String| SendFailure::Unreachable { cause };
+        let socket = match tokio::time::timeout(timeout, TcpStream::connect(to)).await {
+            Ok(Ok(socket)) => socket,
+            Ok(Err(e)) => return Err(unreachable(e.to_string())),
+            Err(_) => return Err(unreachable(format!("no connection in {timeout:?}"))),
+        };
+        socket.set_nodelay(true).map_err(|e| unreachable(e.to_string()))?;
+        let handshake = http1::handshake(TokioIo::new(socket)).await;
+        let (sender, connection) = handshake.map_err(|e| unreachable(e.to_string()))?;
+        let driver = Driver(tokio::spawn(async move {
+            // The error also reaches whoever waits for the answer.
+            let _ = connection.await;
+        }));
+        Ok(Connection {
+            sender,
+            _driver: driver,
+        })
+    }
+}
+
+/// Shared ownership of a pool, as calls and answers need it.
+pub struct PooledLink(pub Arc<UpstreamPool>);
+
+#[async_trait]
+impl UpstreamLink for PooledLink {
+    async fn send(
+        &self,
+        to: SocketAddr,
+        req: Request<Full<Bytes>>,
+        limits: SendLimits,
+    ) -> Result<Response<UpstreamBody>, SendFailure> {
+        let mut req = req;
+        let kept = if limits.reuse { self.0.take(to) } else { None };
+        if let Some(connection) = kept {
+            match exchange(connection, req, limits.deadline).await {
+                Exchanged::Answer(connection, response) => {
+                    return Ok(self.answer(to, connection, response));
+                }
+                Exchanged::Failed(failure) => return Err(failure),
+                Exchanged::Unsent(back, _) => req = back,
+            }
+        }
+        let left = limits.deadline.saturating_duration_since(Instant::now());
+        let connection = UpstreamPool::open(to, limits.connect.min(left)).await?;
+        match exchange(connection, req, limits.deadline).await {
+            Exchanged::Answer(connection, response) => Ok(self.answer(to, connection, response)),
+            Exchanged::Failed(failure) => Err(failure),
+            Exchanged::Unsent(_, cause) => Err(SendFailure::Unreachable { cause }),
+        }
+    }
+
+    fn close_idle(&self, to: SocketAddr) {
+        self.0.idle.lock(&to).remove(&to);
+    }
+}
+
+impl PooledLink {
+    fn answer(
+        &self,
+        to: SocketAddr,
+        connection: Connection,
+        response: Response<Incoming>,
+    ) -> Response<UpstreamBody> {
+        let keep = keep_time(response.headers());
+        response.map(|body| {
+            let mut answer = AnswerBody {
+                body,
+                connection: Some(connection),
+                pool: Arc::downgrade(&self.0),
+                to,
+                keep,
+            };
+            if answer.body.is_end_stream() {
+                answer.finish();
+            }
+            answer.boxed_unsync()
+        })
+    }
+}
+
+/// The result of sending on one connection.
+enum Exchanged {
+    /// The head of the answer.
+    Answer(Connection, Response<Incoming>),
+    /// The connection had ended before a byte was sent; the call can be sent elsewhere.
+    Unsent(Request<Full<Bytes>>, String),
+    /// The call may have run.
+    Failed(SendFailure),
+}
+
+async fn exchange(mut connection: Connection, req: Request<Full<Bytes>>, deadline: Instant) -> Exchanged {
+    let sending = connection.sender.try_send_request(req);
+    match tokio::time::timeout_at(deadline.into(), sending).await {
+        Ok(Ok(response)) => Exchanged::Answer(connection, response),
+        Ok(Err(mut e)) => match e.take_message() {
+            Some(req) => Exchanged::Unsent(req, e.error().to_string()),
+            None => Exchanged::Failed(SendFailure::Broken {
+                cause: e.error().to_string(),
+            }),
+        },
+        Err(_) => Exchanged::Failed(SendFailure::Timeout),
+    }
+}
+
+/// Returns the time for which a connection may be kept after an answer with these headers.
+fn keep_time(headers: &HeaderMap) -> Option<Duration> {
+    let value = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let closes = value(CONNECTION.as_str()).is_some_and(|v| v.to_ascii_lowercase().contains("close"));
+    if closes {
+        return None;
+    }
+    let stated = value("keep-alive").and_then(|parameters| {
+        let timeout = parameters.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+        timeout.parse().ok().map(Duration::from_secs)
+    });
+    let keep = stated.map_or(DEFAULT_KEEP, |stated| stated.saturating_sub(KEEP_MARGIN));
+    (!keep.is_zero()).then_some(keep)
+}
+
+/// The body of an answer. Its connection is kept after the end, and closed when the body is dropped before.
+struct AnswerBody {
+    body: Incoming,
+    connection: Option<Connection>,
+    pool: Weak<UpstreamPool>,
+    to: SocketAddr,
+    keep: Option<Duration>,
+}
+
+impl AnswerBody {
+    fn finish(&mut self) {
+        let connection = self.connection.take();
+        if let (Some(connection), Some(keep), Some(pool)) =
+            (connection, self.keep, self.pool.upgrade())
+        {
+            pool.keep(self.to, connection, keep);
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        match &polled {
+            Poll::Ready(None) => self.finish(),
+            Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.finish(),
+            _ => {}
+        }
+        polled.map(|frame| frame.map(|frame| frame.map_err(BodyError::from)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/connection/store.rs
+++ b/src/connection/store.rs
@@ -122,6 +122,8 @@
     LeaseGone,
     /// `StoreError::TooLarge`.
     TooLarge(u64),
+    /// `StoreError::Compacted`.
+    Compacted,
 }
 
 impl From<StoreError> for WireFailure {
@@ -133,6 +135,7 @@
             StoreError::Throttled { retry_after } => Self::Throttled(retry_after),
             StoreError::LeaseGone => Self::LeaseGone,
             StoreError::TooLarge { size } => Self::TooLarge(size as u64),
+            StoreError::Compacted => Self::Compacted,
         }
     }
 }
@@ -145,6 +148,7 @@
             WireFailure::Unknown(cause) => Self::Unknown { cause },
             WireFailure::Throttled(retry_after) => Self::Throttled { retry_after },
             WireFailure::LeaseGone => Self::LeaseGone,
+            WireFailure::Compacted => Self::Compacted,
             WireFailure::TooLarge(size) => Self::TooLarge {
                 size: usize::try_from(size).unwrap_or(usize::MAX),
             },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! Modules are laid out by life span: `request`, `connection`, `version` and `process` hold what lives
 //! as long as one of these; `command` holds the command line, `emulator` the stand-ins for
-//! outside systems. See `ARCHITECTURE.md`.
+//! outside systems. `platform` translates the protocol of the platform that the router runs on. See `ARCHITECTURE.md`.
 
 pub mod command;
 pub mod connection;
 pub mod emulator;
 pub mod load;
+#[path = "../platform/platform.rs"]
+pub mod platform;
 pub mod prelude;
 pub mod process;
 pub mod request;
--- a/src/process.rs
+++ b/src/process.rs
@@ -7,6 +7,7 @@
 pub mod dump;
 pub mod fleet_limits;
 pub mod fleet_placer;
+pub mod forwarding;
 pub mod host_list;
 pub mod idempotency;
 pub mod ids;
--- /dev/null
+++ b/src/process/forwarding.rs
@@ -0,0 +1,14 @@
+//! Forwarding of whole requests: what a host knows of upstreams, other hosts and customers' use of their limits.
+
+pub mod directory;
+pub mod exchange;
+pub mod fleet;
+pub mod host;
+pub mod load;
+pub mod peers;
+pub mod retry_share;
+pub mod selection;
+pub mod settings;
+pub mod state_source;
+pub mod usage;
+pub mod watchers;
--- /dev/null
+++ b/src/process/forwarding/fleet.rs
@@ -0,0 +1,136 @@
+//! What a forwarding host knows of upstreams, other hosts and customers, each part under its own lock.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use crossbeam::sync::ShardedLock;
+
+use crate::prelude::*;
+use crate::process::forwarding::directory::{Directory, DirectoryChange, Instance};
+use crate::process::forwarding::load::LoadBook;
+use crate::process::forwarding::peers::PeerBook;
+use crate::process::forwarding::retry_share::RetryShare;
+use crate::process::forwarding::settings::ForwardingSettings;
+use crate::process::forwarding::usage::UsageBook;
+use crate::process::message::CrashReport;
+use crate::process::quarantine::CrashBook;
+use crate::process::shard::lock;
+use crate::version::cell::VersionCell;
+use crate::version::forwarding::ForwardingTable;
+
+/// The fingerprints of crashing requests that are kept.
+const CRASH_FINGERPRINTS: usize = 1024;
+
+/// The time for which a crash is reported to other hosts. Longer than most cuts between them.
+const CRASH_NEWS_TTL: Duration = Duration::from_secs(3);
+
+/// The state of a forwarding host.
+pub struct FleetState {
+    /// The configuration in force.
+    pub tables: VersionCell<ForwardingTable>,
+    /// The load of upstreams.
+    pub loads: LoadBook,
+    /// The customers' accounts.
+    pub usage: UsageBook,
+    /// The retries.
+    pub retries: RetryShare,
+    directory: ShardedLock<Directory>,
+    peers: Mutex<PeerBook>,
+    crashes: Mutex<(CrashBook, Vec<(Instant, CrashReport)>)>,
+    /// Wakes the task that reports to other hosts.
+    changed: tokio::sync::Notify,
+}
+
+impl FleetState {
+    /// Creates an empty state.
+    pub fn new(settings: &ForwardingSettings) -> Self {
+        Self {
+            tables: VersionCell::default(),
+            loads: LoadBook::new(settings.load.clone()),
+            usage: UsageBook::new(settings.usage.clone()),
+            retries: RetryShare::new(settings.retries.clone()),
+            directory: ShardedLock::new(Directory::new(settings.directory.clone())),
+            peers: Mutex::default(),
+            crashes: Mutex::new((CrashBook::new(CRASH_FINGERPRINTS), Vec::new())),
+            changed: tokio::sync::Notify::new(),
+        }
+    }
+
+    /// Returns why the host can't serve, or `None` if it can.
+    pub fn not_ready(&self) -> Option<&'static str> {
+        if self.tables.current().version == 0 {
+            return Some("no configuration yet");
+        }
+        let listed = self.with_directory(Directory::listed);
+        listed.is_none().then_some("no list of upstreams yet")
+    }
+
+    /// Reads the directory.
+    pub fn with_directory<T>(&self, read: impl FnOnce(&Directory) -> T) -> T {
+        read(&self.directory.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns the upstreams of a service that take new work.
+    pub fn takers(&self, service: &str) -> Arc<[Arc<Instance>]> {
+        self.with_directory(|d| d.takers(service)).unwrap_or_default()
+    }
+
+    /// Replaces the list of upstreams by one that was asked for at `asked`.
+    pub fn apply_list(&self, listed: Vec<Instance>, asked: Instant) -> DirectoryChange {
+        let change = self.change_directory(|d| d.apply(listed, asked));
+        for left in change.left.iter().filter(|left| !left.draining) {
+            self.loads.forget(left);
+        }
+        change
+    }
+
+    /// Takes note that the list of upstreams could not be read.
+    pub fn list_failed(&self) {
+        self.change_directory(Directory::read_failed);
+    }
+
+    /// Takes out an upstream at whose address another one answers.
+    pub fn remove_upstream(&self, instance: &Instance) {
+        self.change_directory(|d| d.remove(&instance.id, instance.born));
+    }
+
+    fn change_directory<T>(&self, change: impl FnOnce(&mut Directory) -> T) -> T {
+        change(&mut self.directory.write().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Locks the list of other hosts.
+    pub fn peers(&self) -> std::sync::MutexGuard<'_, PeerBook> {
+        lock(&self.peers)
+    }
+
+    /// Tells whether a request has crashed too many upstreams to run again.
+    pub fn is_quarantined(&self, fingerprint: &Digest, now: Instant) -> bool {
+        lock(&self.crashes).0.is_refused(fingerprint, now)
+    }
+
+    /// Takes note of a request that broke off with its upstream; `own` ones are reported to other hosts.
+    pub fn note_crash(&self, news: &CrashReport, own: bool, now: Instant) {
+        let mut crashes = lock(&self.crashes);
+        crashes.0.record(news, now);
+        if own {
+            crashes.1.push((now, news.clone()));
+        }
+    }
+
+    /// Returns this host's crashes of late.
+    pub fn crash_news(&self, now: Instant) -> Vec<CrashReport> {
+        let news = &mut lock(&self.crashes).1;
+        news.retain(|(at, _)| now.saturating_duration_since(*at) < CRASH_NEWS_TTL);
+        news.iter().map(|(_, news)| news.clone()).collect()
+    }
+
+    /// Has the change reported to the other hosts.
+    pub fn report_soon(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Waits for a change to report.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
--- /dev/null
+++ b/src/process/forwarding/host.rs
@@ -0,0 +1,205 @@
+//! Wires the parts of a forwarding host together and runs it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::connection::caller_listener::{CallerListener, CallerSettings};
+use crate::connection::forward::front::ForwardFront;
+use crate::connection::forward::reports::ReportSocket;
+use crate::connection::forward::upstream_pool::{PooledLink, UpstreamPool};
+use crate::connection::operator::{self, OperatorView};
+use crate::prelude::*;
+use crate::process::dump::Dump;
+use crate::process::forwarding::exchange::Exchange;
+use crate::process::forwarding::fleet::FleetState;
+use crate::process::forwarding::peers::Registration;
+use crate::process::forwarding::selection;
+use crate::process::forwarding::settings::ForwardingSettings;
+use crate::process::forwarding::state_source::StateCodec;
+use crate::process::forwarding::watchers::Watchers;
+use crate::process::metrics;
+use crate::process::node::view::NodeView;
+use crate::process::settings::Settings;
+use crate::request::forward::codec::CallCodec;
+use crate::request::forward::flow::ForwardServices;
+
+/// The time before the end of the grace at which a draining host gives up on open requests.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+
+/// What a forwarding host needs of the platform.
+pub struct ForwardOutside {
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// The encodings of what is stored.
+    pub state_codec: Arc<dyn StateCodec>,
+    /// The encodings of requests.
+    pub call_codec: Arc<dyn CallCodec>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+}
+
+/// A running host.
+pub struct ForwardHost {
+    /// The callers' address.
+    pub callers_address: SocketAddr,
+    /// The operators' address.
+    pub operators_address: Option<SocketAddr>,
+    settings: ForwardingSettings,
+    front: Arc<ForwardFront>,
+    cx: Arc<ForwardServices>,
+    exchange: Arc<Exchange>,
+    draining: watch::Sender<bool>,
+    stop: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl ForwardHost {
+    /// Starts a host.
+    ///
+    /// # Errors
+    /// Returns the I/O error if an address can't be bound.
+    pub async fn start(
+        settings: Settings,
+        forwarding: ForwardingSettings,
+        outside: ForwardOutside,
+    ) -> std::io::Result<Self> {
+        metrics::recorder();
+        let clock = outside.clock;
+        let state = Arc::new(FleetState::new(&forwarding));
+        let reports = ReportSocket::bind(settings.peer.address).await?;
+        let registration = Registration {
+            host: settings.host.clone(),
+            address: reports.address()?,
+            incarnation: rand::random(),
+        };
+        let exchange = Arc::new(Exchange {
+            host: settings.host.clone(),
+            address: registration.address,
+            incarnation: registration.incarnation,
+            started: clock.now(),
+            state: state.clone(),
+            clock: clock.clone(),
+            link: Arc::new(reports),
+            delay_per_host: forwarding.report_delay_per_host,
+            interval: forwarding.report_interval,
+        });
+        let watchers = Arc::new(Watchers {
+            state: state.clone(),
+            store: outside.store,
+            codec: outside.state_codec,
+            clock: clock.clone(),
+            settings: forwarding.clone(),
+            registration,
+            unreadable: Mutex::default(),
+        });
+        let cx = Arc::new(ForwardServices {
+            data_centre: settings.data_centre.clone(),
+            state: state.clone(),
+            selection: selection::create(settings.policy, forwarding.selection.clone()),
+            link: Arc::new(PooledLink(UpstreamPool::new())),
+            codec: outside.call_codec,
+            clock,
+            settings: forwarding.requests.clone(),
+            tasks: crate::process::background::BackgroundTasks::default(),
+        });
+        let draining = watch::Sender::new(false);
+        let operators_address = match settings.operators_address {
+            Some(address) => Some(start_operators(address, &settings, &state, &draining)?),
+            None => None,
+        };
+        let tasks = spawn_tasks(&watchers, &exchange);
+        let listener = TcpListener::bind(settings.callers_address).await?;
+        let callers_address = listener.local_addr()?;
+        let caller_settings = CallerSettings {
+            read_timeout: settings.callers.read_timeout,
+            ..settings.callers
+        };
+        let front = ForwardFront::new(cx.clone(), &caller_settings);
+        let (stop, stopped) = watch::channel(false);
+        let serving = CallerListener::new(front.clone(), caller_settings);
+        Ok(Self {
+            callers_address,
+            operators_address,
+            settings: forwarding,
+            front,
+            cx,
+            exchange,
+            draining,
+            stop,
+            serving: tokio::spawn(serving.serve(listener, stopped)),
+            tasks,
+        })
+    }
+
+    /// Returns why the host takes no new work, or `None` if it does.
+    pub fn not_ready(&self) -> Option<&'static str> {
+        self.cx.state.not_ready()
+    }
+
+    /// Ends the host gracefully: it is no longer ready, ends kept connections with their next answer, takes new
+    /// connections until the balancer has noticed, and lets open requests finish within the grace.
+    pub async fn drain(self) {
+        self.draining.send_replace(true);
+        self.front.start_draining();
+        tokio::time::sleep(self.settings.drain_delay).await;
+        self.stop.send_replace(true);
+        let left = self.settings.grace - self.settings.drain_delay;
+        let left = left.saturating_sub(GRACE_MARGIN);
+        if tokio::time::timeout(left, self.serving).await.is_err() {
+            log::warn!(target: "host", "requests still open at the end of the grace are cut off");
+        }
+        self.exchange.leave().await;
+        for task in self.tasks {
+            task.abort();
+        }
+    }
+}
+
+fn spawn_tasks(watchers: &Arc<Watchers>, exchange: &Arc<Exchange>) -> Vec<JoinHandle<()>> {
+    let (a, b, c, d) = (watchers.clone(), watchers.clone(), watchers.clone(), watchers.clone());
+    let (sender, receiver) = (exchange.clone(), exchange.clone());
+    vec![
+        tokio::spawn(async move { a.follow_configuration().await }),
+        tokio::spawn(async move { b.follow_upstreams().await }),
+        tokio::spawn(async move { c.register().await }),
+        tokio::spawn(async move { d.follow_hosts().await }),
+        tokio::spawn(async move { sender.send_reports().await }),
+        tokio::spawn(async move { receiver.receive_reports().await }),
+        tokio::spawn(async {
+            loop {
+                tokio::time::sleep(metrics::UPKEEP_INTERVAL).await;
+                metrics::upkeep();
+            }
+        }),
+    ]
+}
+
+fn start_operators(
+    address: SocketAddr,
+    settings: &Settings,
+    state: &Arc<FleetState>,
+    draining: &watch::Sender<bool>,
+) -> std::io::Result<SocketAddr> {
+    let host = settings.host.clone();
+    let (config, usage, peers) = (state.clone(), state.clone(), state.clone());
+    let dump = Dump::default()
+        .with_view("host", move || host.clone())
+        .with_view("configuration", move || config.tables.current().version)
+        .with_view("usage", move || usage.usage.levels())
+        .with_view("peers", move || peers.peers().ages(std::time::Instant::now()));
+    let (state, draining) = (state.clone(), draining.subscribe());
+    let not_ready = move || {
+        if *draining.borrow() {
+            return Some("stopping".to_owned());
+        }
+        state.not_ready().map(str::to_owned)
+    };
+    let view: Arc<dyn OperatorView> = NodeView::new(dump, Box::new(not_ready));
+    operator::start(address, &view)
+}
--- /dev/null
+++ b/src/process/forwarding/load.rs
@@ -0,0 +1,253 @@
+//! The load and health of upstreams as this host sees them. Holds no I/O and reads no clock.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::prelude::*;
+use crate::process::forwarding::directory::Instance;
+use crate::process::shard::Shards;
+
+/// Work that an upstream has been given and has not finished.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Work {
+    /// The calls.
+    pub calls: u32,
+    /// Their tokens.
+    pub tokens: Tokens,
+}
+
+impl Work {
+    fn add(&mut self, other: Self) {
+        self.calls += other.calls;
+        self.tokens += other.tokens;
+    }
+}
+
+/// Names one call within a `LoadBook`.
+pub type CallNo = u64;
+
+/// The settings of the load book.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LoadSettings {
+    /// The time for which an upstream gets no work after its first failure in a row; doubles with each further one.
+    pub block: Duration,
+    /// The longest such time.
+    pub max_block: Duration,
+    /// The weight of the newest time in the moving averages.
+    pub newest: f64,
+    /// The time for which another host's report counts.
+    pub report_ttl: Duration,
+}
+
+impl Default for LoadSettings {
+    fn default() -> Self {
+        Self {
+            block: Duration::from_millis(500),
+            max_block: Duration::from_secs(4),
+            newest: 0.2,
+            report_ttl: Duration::from_millis(1500),
+        }
+    }
+}
+
+/// What one upstream does.
+#[derive(Debug, Default)]
+struct UpstreamLoad {
+    born: u64,
+    own: Work,
+    others: SmallVec<[(HostId, Work, Instant); 8]>,
+    /// The calls that have had no answer yet, with the time of sending.
+    waiting: SmallVec<[(CallNo, Instant); 8]>,
+    failures: u32,
+    blocked_until: Option<Instant>,
+    heard: Option<Instant>,
+    /// The moving average of the time that one unit of work takes.
+    pace: Option<f64>,
+}
+
+/// An upstream's load at one moment.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct LoadView {
+    /// The work given by this host.
+    pub own: Work,
+    /// The work given by other hosts, as they reported it.
+    pub others: Work,
+    /// The time for which the oldest call has had no answer.
+    pub unanswered: Duration,
+    /// Whether it gets no work because calls failed.
+    pub is_blocked: bool,
+    /// The seconds that one unit of work took on average: a token for prefills, else a call.
+    pub pace: Option<f64>,
+}
+
+impl LoadView {
+    /// Returns the work given by all hosts.
+    pub fn work(&self) -> Work {
+        let mut work = self.own;
+        work.add(self.others);
+        work
+    }
+}
+
+/// How a call ended for an upstream's health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// It answered.
+    Answered,
+    /// It could not be reached, broke off or did not answer.
+    Failed,
+    /// It refused the call because it is full.
+    Full,
+    /// The call ended for a reason that says nothing of the upstream.
+    Left,
+}
+
+/// The time for which an upstream that refused a call as full gets no further one.
+const FULL_BLOCK: Duration = Duration::from_millis(150);
+
+/// The load of all upstreams.
+#[derive(Debug, Default)]
+pub struct LoadBook {
+    settings: LoadSettings,
+    upstreams: Shards<HashMap<UpstreamId, UpstreamLoad>>,
+}
+
+impl LoadBook {
+    /// Creates an empty book.
+    pub fn new(settings: LoadSettings) -> Self {
+        Self {
+            settings,
+            upstreams: Shards::default(),
+        }
+    }
+
+    /// Counts a call that is about to be sent.
+    pub fn begin(&self, instance: &Instance, call: CallNo, tokens: Tokens, now: Instant) {
+        self.with(instance, |load| {
+            load.own.add(Work { calls: 1, tokens });
+            load.waiting.push((call, now));
+        });
+    }
+
+    /// Takes note that a call has been answered, or a first part of it.
+    pub fn answered(&self, instance: &Instance, call: CallNo, now: Instant) {
+        self.with(instance, |load| {
+            load.waiting.retain(|(waiting, _)| *waiting != call);
+            load.heard = Some(now);
+        });
+    }
+
+    /// Adds the time that a call of `units` took to the moving average.
+    pub fn measured(&self, instance: &Instance, units: f64, took: Duration) {
+        let newest = self.settings.newest;
+        self.with(instance, |load| {
+            let pace = took.as_secs_f64() / units.max(1.0);
+            load.pace = Some(load.pace.map_or(pace, |old| old + (pace - old) * newest));
+        });
+    }
+
+    /// Ends a call.
+    pub fn end(&self, instance: &Instance, call: CallNo, tokens: Tokens, end: CallEnd, now: Instant) {
+        let settings = &self.settings;
+        self.with(instance, |load| {
+            load.own.calls = load.own.calls.saturating_sub(1);
+            load.own.tokens = load.own.tokens.saturating_sub(tokens);
+            load.waiting.retain(|(waiting, _)| *waiting != call);
+            match end {
+                CallEnd::Answered => {
+                    load.failures = 0;
+                    load.blocked_until = None;
+                }
+                CallEnd::Failed => {
+                    let doubled = settings.block * 2u32.pow(load.failures.min(8));
+                    load.failures += 1;
+                    load.blocked_until = Some(now + doubled.min(settings.max_block));
+                }
+                CallEnd::Full => {
+                    let until = now + FULL_BLOCK;
+                    load.blocked_until = load.blocked_until.max(Some(until));
+                }
+                CallEnd::Left => {}
+            }
+        });
+    }
+
+    /// Replaces what another host reported of its work; upstreams that it does not name have none of it.
+    pub fn merge(&self, host: &HostId, report: &[(UpstreamId, Work)], now: Instant) {
+        for mut upstreams in self.upstreams.iter() {
+            for load in upstreams.values_mut() {
+                load.others.retain(|(other, _, _)| other != host);
+            }
+        }
+        for (upstream, work) in report {
+            let mut upstreams = self.upstreams.lock(upstream);
+            // Upstreams that this host does not know yet can't be chosen either.
+            if let Some(load) = upstreams.get_mut(upstream) {
+                load.others.push((host.clone(), *work, now));
+            }
+        }
+    }
+
+    /// Returns the work that this host has given, to report it.
+    pub fn own_work(&self) -> Vec<(UpstreamId, Work)> {
+        let mut work = Vec::new();
+        for upstreams in self.upstreams.iter() {
+            let busy = upstreams.iter().filter(|(_, load)| load.own.calls > 0);
+            work.extend(busy.map(|(id, load)| (id.clone(), load.own)));
+        }
+        work
+    }
+
+    /// Returns the load of an upstream, and makes it known for reports of other hosts.
+    pub fn view(&self, instance: &Instance, now: Instant) -> LoadView {
+        let ttl = self.settings.report_ttl;
+        self.with(instance, |load| {
+            let mut others = Work::default();
+            let age = |at: &Instant| now.saturating_duration_since(*at);
+            for (_, work, at) in &load.others {
+                if age(at) < ttl {
+                    others.add(*work);
+                }
+            }
+            let oldest = load.waiting.iter().map(|(_, since)| age(since)).max();
+            LoadView {
+                own: load.own,
+                others,
+                unanswered: oldest.unwrap_or_default(),
+                is_blocked: load.blocked_until.is_some_and(|until| until > now),
+                pace: load.pace,
+            }
+        })
+    }
+
+    /// Returns when an upstream was last heard.
+    pub fn heard(&self, instance: &Instance) -> Option<Instant> {
+        self.with(instance, |load| load.heard)
+    }
+
+    /// Drops an upstream that has left, unless calls still run there.
+    pub fn forget(&self, instance: &Instance) {
+        let mut upstreams = self.upstreams.lock(&instance.id);
+        let idle = upstreams.get(&instance.id).is_some_and(|load| load.own.calls == 0);
+        if idle {
+            upstreams.remove(&instance.id);
+        }
+    }
+
+    fn with<T>(&self, instance: &Instance, act: impl FnOnce(&mut UpstreamLoad) -> T) -> T {
+        let mut upstreams = self.upstreams.lock(&instance.id);
+        let load = upstreams.entry(instance.id.clone()).or_default();
+        if load.born < instance.born {
+            // What was known of the process before says nothing of the new one; its calls still end.
+            load.born = instance.born;
+            load.failures = 0;
+            load.blocked_until = None;
+            load.pace = None;
+        }
+        act(load)
+    }
+}
--- /dev/null
+++ b/src/process/forwarding/watchers.rs
@@ -0,0 +1,280 @@
+//! The tasks that follow the platform's store: configuration, upstreams, hosts.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::prelude::*;
+use crate::process::forwarding::fleet::FleetState;
+use crate::process::forwarding::peers::Registration;
+use crate::process::forwarding::settings::ForwardingSettings;
+use crate::process::forwarding::state_source::StateCodec;
+use crate::process::shard::lock;
+
+/// The prefix of the keys under which hosts register.
+const HOST_PREFIX: &str = "hosts/";
+
+/// Follows the store and keeps the host's state up to date.
+pub struct Watchers {
+    /// The state.
+    pub state: Arc<FleetState>,
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// The encodings.
+    pub codec: Arc<dyn StateCodec>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The settings.
+    pub settings: ForwardingSettings,
+    /// This host as it registers.
+    pub registration: Registration,
+    /// The registrations of upstreams that could not be read, to log each once.
+    pub unreadable: Mutex<HashSet<String>>,
+}
+
+/// Waits longer after each failure in a row, by a random part so that hosts don't return together.
+struct Backoff {
+    least: Duration,
+    most: Duration,
+    next: Duration,
+    /// Whether the dependency is away, to log its loss and return once.
+    away: bool,
+    what: &'static str,
+}
+
+impl Backoff {
+    fn new(what: &'static str, settings: &ForwardingSettings) -> Self {
+        Self {
+            least: settings.store_backoff,
+            most: settings.max_store_backoff,
+            next: settings.store_backoff,
+            away: false,
+            what,
+        }
+    }
+
+    async fn failed(&mut self, error: &StoreError) {
+        if !std::mem::replace(&mut self.away, true) {
+            log::warn!(target: "store", "{} lost: {error}; what is known stays in force", self.what);
+        }
+        let wait = match error {
+            StoreError::Throttled { retry_after } => self.next.max(*retry_after),
+            _ => self.next,
+        };
+        self.next = (self.next * 2).min(self.most);
+        tokio::time::sleep(wait.mul_f64(rand::random_range(0.7..1.3))).await;
+    }
+
+    fn succeeded(&mut self) {
+        self.next = self.least;
+        if std::mem::replace(&mut self.away, false) {
+            log::info!(target: "store", "{} regained", self.what);
+        }
+    }
+}
+
+impl Watchers {
+    /// Follows the configuration for good.
+    pub async fn follow_configuration(&self) {
+        let mut backoff = Backoff::new("configuration", &self.settings);
+        let key = self.codec.configuration_key();
+        loop {
+            let listed = match self.store.list_as_of(key).await {
+                Ok(listed) => listed,
+                Err(e) => {
+                    backoff.failed(&e).await;
+                    continue;
+                }
+            };
+            backoff.succeeded();
+            for entry in listed.value.iter().filter(|entry| entry.key == key) {
+                self.put_in_force(entry);
+            }
+            let mut after = listed.revision;
+            loop {
+                let watched = self.store.watch_as_of(key, after, self.settings.watch_wait);
+                match watched.await {
+                    Ok(changes) => {
+                        backoff.succeeded();
+                        for change in &changes.value {
+                            if let StoreChange::Put(entry) = change
+                                && entry.key == key
+                            {
+                                self.put_in_force(entry);
+                            }
+                        }
+                        after = after.max(changes.revision);
+                    }
+                    Err(StoreError::Compacted) => break,
+                    Err(e) => {
+                        backoff.failed(&e).await;
+                        // A change may have come while the watch was away; reading shows it at once.
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    fn put_in_force(&self, entry: &StoreEntry) {
+        match self.codec.read_configuration(&entry.value) {
+            Ok(table) => {
+                let (version, routes) = (table.version, table.route_count());
+                let now = self.clock.now();
+                let customers = table.customers.values().map(|customer| &**customer);
+                self.state.usage.open(customers, now);
+                if self.state.tables.advance(table) {
+                    log::info!(target: "config", "version {version} in force: {routes} routes, revision {}", entry.revision);
+                }
+            }
+            Err(e) => {
+                log::error!(target: "config", "configuration at revision {} not taken over: {e}", entry.revision);
+            }
+        }
+    }
+
+    /// Reads the list of upstreams for good.
+    pub async fn follow_upstreams(&self) {
+        let mut backoff = Backoff::new("list of upstreams", &self.settings);
+        loop {
+            let asked = self.clock.now();
+            match self.store.list(self.codec.upstream_prefix()).await {
+                Ok(entries) => {
+                    backoff.succeeded();
+                    self.apply_list(&entries, asked);
+                    let took = self.clock.now().saturating_duration_since(asked);
+                    let wait = self.settings.directory_interval.saturating_sub(took);
+                    tokio::time::sleep(wait).await;
+                }
+                Err(e) => {
+                    self.state.list_failed();
+                    backoff.failed(&e).await;
+                }
+            }
+        }
+    }
+
+    fn apply_list(&self, entries: &[StoreEntry], asked: Instant) {
+        let mut listed = Vec::with_capacity(entries.len());
+        for entry in entries {
+            match self.codec.read_upstream(&entry.key, &entry.value) {
+                Ok(instance) => listed.push(instance),
+                Err(e) => {
+                    if lock(&self.unreadable).insert(entry.key.clone()) {
+                        log::warn!(target: "upstream", "registration {} not used: {e}", entry.key);
+                    }
+                }
+            }
+        }
+        let change = self.state.apply_list(listed, asked);
+        for started in &change.started {
+            log::info!(target: "upstream", "{} of {} known: {:?} at {} in {}", started.id, started.service, started.stage, started.address, started.data_centre);
+        }
+        for left in &change.left {
+            let how = if left.draining { "drains" } else { "is gone" };
+            log::info!(target: "upstream", "{} of {} {how}; no new work", left.id, left.service);
+        }
+        if change.kept > 0 {
+            log::info!(target: "upstream", "{} upstreams missing shortly after the store's return; kept", change.kept);
+        }
+    }
+
+    /// Registers this host for good, again after each loss of its lease.
+    pub async fn register(&self) {
+        let mut backoff = Backoff::new("registration", &self.settings);
+        loop {
+            match self.register_once().await {
+                Ok(lease) => {
+                    backoff.succeeded();
+                    self.keep_lease(lease, &mut backoff).await;
+                }
+                Err(e) => backoff.failed(&e).await,
+            }
+        }
+    }
+
+    async fn register_once(&self) -> Result<LeaseId, StoreError> {
+        let lease = self.store.grant_lease(self.settings.registration_ttl).await?;
+        let key = self.registration_key();
+        let value = serde_json::to_vec(&self.registration).unwrap_or_default();
+        let mut expected = Expected::Absent;
+        loop {
+            match self.store.swap(&key, expected, value.clone(), Some(lease)).await {
+                Ok(_) => return Ok(lease),
+                // The entry of the process before; this one has the same address.
+                Err(StoreError::Conflict { current }) => {
+                    expected = current.map_or(Expected::Absent, Expected::At);
+                }
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Renews a lease until it is gone.
+    async fn keep_lease(&self, lease: LeaseId, backoff: &mut Backoff) {
+        let interval = self.settings.registration_ttl / 3;
+        loop {
+            tokio::time::sleep(interval).await;
+            loop {
+                match self.store.renew_lease(lease).await {
+                    Ok(()) => {
+                        backoff.succeeded();
+                        break;
+                    }
+                    Err(StoreError::LeaseGone) => return,
+                    Err(e) => backoff.failed(&e).await,
+                }
+            }
+        }
+    }
+
+    fn registration_key(&self) -> String {
+        format!("{HOST_PREFIX}{}", self.registration.host)
+    }
+
+    /// Follows the list of hosts for good.
+    pub async fn follow_hosts(&self) {
+        let mut backoff = Backoff::new("list of hosts", &self.settings);
+        let mut returned = self.clock.now();
+        loop {
+            match self.store.list_as_of(HOST_PREFIX).await {
+                Ok(listed) => {
+                    if backoff.away {
+                        returned = self.clock.now();
+                    }
+                    backoff.succeeded();
+                    self.apply_hosts(&listed.value, returned);
+                    self.wait_for_hosts(listed.revision).await;
+                }
+                Err(e) => backoff.failed(&e).await,
+            }
+        }
+    }
+
+    async fn wait_for_hosts(&self, after: Revision) {
+        let wait = self.settings.watch_wait;
+        let watched = self.store.watch_as_of(HOST_PREFIX, after, wait).await;
+        // Changes come in groups when many hosts start; any failure shows in the next read.
+        if watched.is_ok_and(|changes| !changes.value.is_empty()) {
+            tokio::time::sleep(self.settings.store_backoff).await;
+        }
+    }
+
+    fn apply_hosts(&self, entries: &[StoreEntry], returned: Instant) {
+        let mut hosts = Vec::with_capacity(entries.len());
+        for entry in entries {
+            match serde_json::from_slice::<Registration>(&entry.value) {
+                Ok(host) if host.host == self.registration.host => {}
+                Ok(host) => hosts.push(host),
+                Err(e) => log::warn!(target: "peers", "registration {} not readable: {e}", entry.key),
+            }
+        }
+        let now = self.clock.now();
+        let gone = self.state.peers().registered(&hosts, now);
+        let since_return = now.saturating_duration_since(returned);
+        for host in gone {
+            log::info!(target: "peers", "{host} is gone; list of hosts heard for {since_return:?}");
+            self.state.usage.forget(&host);
+        }
+    }
+}
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -15,6 +15,12 @@
 pub const TOKENS: &str = "hibiscusspread_tokens_total";
 /// Seconds from the request to its first token.
 pub const FIRST_TOKEN: &str = "hibiscusspread_first_token_seconds";
+/// Seconds from a forwarded request to its end, by `outcome`.
+pub const REQUEST_TIME: &str = "hibiscusspread_request_seconds";
+/// Calls of the platform's store by `call` and `result`.
+pub const STORE_CALLS: &str = "hibiscusspread_store_calls_total";
+/// Log lines dropped because standard output was not read fast enough.
+pub const LOG_LINES_DROPPED: &str = "hibiscusspread_log_lines_dropped_total";
 /// Violations of an invariant that the program checks itself; must stay 0.
 pub const INVARIANT_VIOLATIONS: &str = "hibiscusspread_invariant_violations_total";
 
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinHandle;
 
 use crate::connection::caller::CallerFront;
+use crate::connection::caller_listener::CallerListener;
 use crate::connection::operator::{self, OperatorView};
 use crate::connection::probe::HttpProbe;
 use crate::connection::service::HttpUpstreams;
@@ -90,7 +91,8 @@
             None => None,
         };
         let (stop, stopped) = watch::channel(false);
-        let front = CallerFront::new(cx.clone(), settings.callers);
+        let handler = CallerFront::new(cx.clone(), &settings.callers);
+        let front = CallerListener::new(handler, settings.callers);
         Ok(Self {
             callers_address,
             operators_address,
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::connection::caller::CallerSettings;
+use crate::connection::caller_listener::CallerSettings;
 use crate::prelude::*;
 use crate::process::distribution::freshness::DEFAULT_KEY_TRUST;
+use crate::process::forwarding::settings::ForwardingSettings;
 use crate::process::node::outside::StatedWeights;
 use crate::process::placement::{JointPolicy, LeastLoadedPolicy, Policy, RoundRobinPolicy};
 use crate::process::pool::settings::PlacementSettings;
@@ -28,6 +29,7 @@
     "host_list",
     "weights",
     "log",
+    "forwarding",
 ];
 
 /// The names of the policies that choose upstreams.
@@ -125,6 +127,8 @@
     pub config_file: Option<String>,
     /// The time for which keys are trusted without a confirmation of the configuration by the store.
     pub key_trust: Duration,
+    /// The settings of a host that forwards whole requests; `None` for a host with the project's own protocols.
+    pub forwarding: Option<ForwardingSettings>,
 }
 
 impl Default for Settings {
@@ -147,6 +151,7 @@
             log_level: "info".to_owned(),
             config_file: None,
             key_trust: DEFAULT_KEY_TRUST,
+            forwarding: None,
         }
     }
 }
@@ -204,6 +209,9 @@
                     .text("level")
                     .unwrap_or("info")
                     .clone_into(&mut settings.log_level),
+                "forwarding" => {
+                    settings.forwarding = Some(ForwardingSettings::read(&mut fields));
+                }
                 "" if properties.is_empty() => {}
                 _ => {
                     let known = SECTIONS.join(", ");
@@ -227,6 +235,9 @@
 
     /// Checks what a host needs beyond a single section.
     fn check_fleet(&self, source: &str, problems: &mut Vec<Problem>) {
+        if self.forwarding.is_some() {
+            return;
+        }
         let mut problem = |section: &str, message: &str| {
             Fields::new(source, section, None, problems).problem("", message);
         };
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -44,6 +44,16 @@
     },
 }
 
+impl StoreChange {
+    /// Returns the revision of the change.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Self::Put(entry) => entry.revision,
+            Self::Deleted { revision, .. } => *revision,
+        }
+    }
+}
+
 /// Why a store call failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreError {
@@ -74,6 +84,8 @@
         /// The size of the value in bytes.
         size: usize,
     },
+    /// The store no longer has the history that a watch asks for.
+    Compacted,
 }
 
 impl fmt::Display for StoreError {
@@ -107,12 +119,22 @@
                     "value of {size} bytes exceeds {MAX_VALUE_BYTES}; split it"
                 )
             }
+            Self::Compacted => f.write_str("history no longer kept; read the entries again"),
         }
     }
 }
 
 impl std::error::Error for StoreError {}
 
+/// What was read, and the revision of the store up to which it is complete.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AsOf<T> {
+    /// What was read.
+    pub value: T,
+    /// The revision.
+    pub revision: Revision,
+}
+
 /// The platform's key-value service.
 #[async_trait]
 pub trait Store: Send + Sync {
@@ -176,4 +198,35 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Vec<StoreChange>, StoreError>;
+
+    /// Reads all entries under `prefix` together with a revision from which a watch misses no change.
+    ///
+    /// # Errors
+    /// As for `list`.
+    async fn list_as_of(&self, prefix: &str) -> Result<AsOf<Vec<StoreEntry>>, StoreError> {
+        let entries = self.list(prefix).await?;
+        let revision = entries.iter().map(|entry| entry.revision).max();
+        Ok(AsOf {
+            revision: revision.unwrap_or_default(),
+            value: entries,
+        })
+    }
+
+    /// Waits as `watch` does, and returns the revision from which to continue.
+    ///
+    /// # Errors
+    /// As for `watch`; `Compacted` if changes after `after` are no longer known.
+    async fn watch_as_of(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<AsOf<Vec<StoreChange>>, StoreError> {
+        let changes = self.watch(prefix, after, wait).await?;
+        let revisions = changes.iter().map(StoreChange::revision);
+        Ok(AsOf {
+            revision: revisions.max().unwrap_or(after),
+            value: changes,
+        })
+    }
 }
--- a/src/request.rs
+++ b/src/request.rs
@@ -6,6 +6,7 @@
 pub mod charge;
 pub mod engine;
 pub mod flow;
+pub mod forward;
 pub mod once;
 pub mod prefix;
 pub mod record;
--- /dev/null
+++ b/src/request/forward.rs
@@ -0,0 +1,13 @@
+//! A request that is passed on whole to an upstream, and its answer back to the caller.
+
+pub mod attempt;
+pub mod call;
+pub mod codec;
+pub mod events;
+pub mod flow;
+pub mod generation;
+pub mod link;
+pub mod plain;
+pub mod record;
+pub mod settings;
+pub mod stream;
--- /dev/null
+++ b/src/request/forward/attempt.rs
@@ -0,0 +1,287 @@
+//! One attempt of a forwarded request at one upstream.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::Response;
+use http::header::CONTENT_LENGTH;
+use http_body_util::Full;
+
+use crate::prelude::*;
+use crate::process::forwarding::directory::{Instance, Stage};
+use crate::process::forwarding::load::{CallEnd, CallNo};
+use crate::process::forwarding::selection::{Candidate, Need, Purpose};
+use crate::process::message::CrashReport;
+use crate::request::forward::call::{AttemptHead, Call, Part};
+use crate::request::forward::flow::ForwardServices;
+use crate::request::forward::link::{SendFailure, SendLimits, UpstreamBody};
+
+/// Why an attempt got no answer that can be passed on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// The upstream refused the call and won't run it.
+    Rejected {
+        /// What it answered.
+        cause: String,
+    },
+    /// The call did not get through, or its answer did not.
+    Sending(SendFailure),
+}
+
+impl AttemptFailure {
+    /// Returns whether the call may have run.
+    pub fn run(&self) -> Run {
+        match self {
+            Self::Rejected { .. } => Run::NotRun,
+            Self::Sending(failure) => failure.run(),
+        }
+    }
+
+    /// Tells whether the call reached an upstream, so that another one counts as a retry.
+    pub fn has_arrived(&self) -> bool {
+        !matches!(self, Self::Sending(SendFailure::Unreachable { .. }))
+    }
+
+    fn broken(cause: impl Into<String>) -> Self {
+        Self::Sending(SendFailure::Broken {
+            cause: cause.into(),
+        })
+    }
+}
+
+impl fmt::Display for AttemptFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Rejected { cause } => write!(f, "upstream refused the call ({cause})"),
+            Self::Sending(failure) => failure.fmt(f),
+        }
+    }
+}
+
+/// How a call is sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sending {
+    /// The part to run.
+    pub part: Part,
+    /// The last event that the caller has, if a stream is resumed.
+    pub last_event: Option<String>,
+    /// The age up to which the upstream's last sign of life lets a kept connection carry the call.
+    pub fresh: Duration,
+    /// The time at which the answer must be there.
+    pub until: Instant,
+}
+
+/// An attempt: holds its place in the upstream's load until it ends. Dropping it says nothing of the upstream.
+pub struct Attempt {
+    cx: Arc<ForwardServices>,
+    /// The upstream.
+    pub instance: Arc<Instance>,
+    no: CallNo,
+    tokens: Tokens,
+    /// When it was sent.
+    pub sent: Instant,
+    ended: bool,
+}
+
+impl Attempt {
+    /// Takes a place at an upstream.
+    pub fn begin(cx: &Arc<ForwardServices>, instance: Arc<Instance>, tokens: Tokens) -> Self {
+        let no = rand::random();
+        let now = cx.clock.now();
+        cx.state.loads.begin(&instance, no, tokens, now);
+        if tokens > 0 {
+            cx.state.report_soon();
+        }
+        Self {
+            cx: cx.clone(),
+            instance,
+            no,
+            tokens,
+            sent: now,
+            ended: false,
+        }
+    }
+
+    /// Sends the call and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// Returns an `AttemptFailure`; the upstream's health has been recorded.
+    pub async fn send(
+        &mut self,
+        call: &Call,
+        sending: Sending,
+    ) -> Result<Response<UpstreamBody>, AttemptFailure> {
+        let result = self.exchange(call, sending).await;
+        let now = self.cx.clock.now();
+        match &result {
+            Ok(_) => self.cx.state.loads.answered(&self.instance, self.no, now),
+            Err(AttemptFailure::Rejected { .. }) => self.finish(CallEnd::Full),
+            Err(AttemptFailure::Sending(failure)) => {
+                // Other kept connections to a silent or restarted upstream are no better.
+                self.cx.link.close_idle(self.instance.address);
+                if matches!(failure, SendFailure::Broken { .. }) {
+                    self.report_crash(call);
+                }
+                self.finish(CallEnd::Failed);
+            }
+        }
+        result
+    }
+
+    async fn exchange(
+        &self,
+        call: &Call,
+        sending: Sending,
+    ) -> Result<Response<UpstreamBody>, AttemptFailure> {
+        let cx = &self.cx;
+        let now = cx.clock.now();
+        let expects_signature = sending.part != Part::Prefill;
+        let head = AttemptHead {
+            upstream: self.instance.id.clone(),
+            part: sending.part,
+            time_left: call.deadline.saturating_duration_since(now),
+            last_event: sending.last_event,
+        };
+        let mut req = http::Request::new(Full::new(call.body.clone()));
+        *req.method_mut() = call.method.clone();
+        *req.uri_mut() = call.uri.clone();
+        *req.headers_mut() = cx.codec.write_attempt(call, &head);
+        let heard = cx.state.loads.heard(&self.instance);
+        let limits = SendLimits {
+            connect: cx.settings.connect_timeout,
+            deadline: sending.until,
+            reuse: heard.is_some_and(|heard| now.saturating_duration_since(heard) < sending.fresh),
+        };
+        let sent = cx.link.send(self.instance.address, req, limits).await;
+        let (head, body) = sent.map_err(AttemptFailure::Sending)?.into_parts();
+        let answer = cx.codec.read_answer(&head);
+        let status = head.status;
+        if answer.not_run {
+            let other = answer.upstream.filter(|id| **id != *self.instance.id);
+            if let Some(other) = other {
+                log::info!(target: "upstream", "{} is gone: {other} has its address", self.instance.id);
+                cx.state.remove_upstream(&self.instance);
+            }
+            let cause = format!("status {status}");
+            return Err(AttemptFailure::Rejected { cause });
+        }
+        match &answer.id {
+            Some(id) if **id == *call.head.id => {}
+            Some(_) => return Err(AttemptFailure::broken("answer to another request")),
+            None if expects_signature => {
+                return Err(AttemptFailure::broken("answer without a request id"));
+            }
+            None => {}
+        }
+        // These statuses tell a caller that the request did not run, which the upstream does not say here.
+        let promises_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+        let is_unsigned = expects_signature && !answer.is_signed;
+        if promises_not_run || is_unsigned || status.is_informational() {
+            return Err(AttemptFailure::broken(format!(
+                "status {status}, signed={}",
+                answer.is_signed
+            )));
+        }
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Takes note that the first part of the answer took `self.sent` to now for `units` of work.
+    pub fn measure(&self, units: f64) {
+        let took = self.cx.clock.now().saturating_duration_since(self.sent);
+        self.cx.state.loads.measured(&self.instance, units, took);
+    }
+
+    /// Has other hosts know that the request broke off with its upstream.
+    pub fn report_crash(&self, call: &Call) {
+        let hash = blake3::hash(call.head.id.as_bytes());
+        let mut request = [0; 16];
+        request.copy_from_slice(&hash.as_bytes()[..16]);
+        let report = CrashReport {
+            fingerprint: call.fingerprint(),
+            request: RequestId::from_le_bytes(request),
+            attempt: 1,
+            upstream: self.instance.id.clone(),
+        };
+        let now = self.cx.clock.now();
+        self.cx.state.note_crash(&report, true, now);
+        self.cx.state.report_soon();
+    }
+
+    /// Ends the attempt.
+    pub fn end(mut self, end: CallEnd) {
+        self.finish(end);
+    }
+
+    fn finish(&mut self, end: CallEnd) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.cx.clock.now();
+        let loads = &self.cx.state.loads;
+        loads.end(&self.instance, self.no, self.tokens, end, now);
+        if self.tokens > 0 {
+            self.cx.state.report_soon();
+        }
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.finish(CallEnd::Left);
+    }
+}
+
+/// Chooses an upstream of `service` for `need` among those that run `stage`, without those in `tried`.
+pub fn choose(
+    cx: &ForwardServices,
+    service: &ModelId,
+    stages: &[Stage],
+    model: Option<&Name>,
+    need: &Need,
+    tried: &[UpstreamId],
+) -> Option<Candidate> {
+    let now = cx.clock.now();
+    let takers = cx.state.takers(service);
+    let fits = |instance: &&Arc<Instance>| {
+        let has_model = |model: &Name| instance.models.is_empty() || instance.models.contains(model);
+        stages.contains(&instance.stage)
+            && !tried.contains(&instance.id)
+            && model.is_none_or(has_model)
+    };
+    let candidates: Vec<_> = takers
+        .iter()
+        .filter(fits)
+        .map(|instance| Candidate {
+            instance: instance.clone(),
+            load: cx.state.loads.view(instance, now),
+        })
+        .collect();
+    let chosen = cx.selection.choose(need, &candidates)?;
+    candidates.into_iter().nth(chosen)
+}
+
+/// Describes a choice for the request's account.
+pub fn describe(purpose: Purpose, candidate: &Candidate) -> String {
+    let purpose = match purpose {
+        Purpose::Call => "call",
+        Purpose::Prefill => "prefill",
+        Purpose::Decode => "decode",
+    };
+    let work = candidate.load.work();
+    let blocked = if candidate.load.is_blocked { " blocked" } else { "" };
+    format!(
+        "{purpose} at {} calls={} tokens={} unanswered={}ms{blocked}",
+        candidate.instance.id,
+        work.calls,
+        work.tokens,
+        candidate.load.unanswered.as_millis()
+    )
+}
+
+/// Tells whether an answer states a length of at most `limit`, or none.
+pub fn is_short(response: &Response<UpstreamBody>, limit: usize) -> bool {
+    let length = response.headers().get(CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    length.is_none_or(|length| length <= limit)
+}
--- /dev/null
+++ b/src/request/forward/codec.rs
@@ -0,0 +1,34 @@
+//! The border to the encodings of forwarded requests.
+
+use http::{HeaderMap, HeaderName, HeaderValue, request, response};
+
+use crate::prelude::*;
+use crate::request::forward::call::{AnswerHead, AttemptHead, Call, CallHead, Prefilled};
+
+/// How callers and upstreams write what a `CallHead`, an `AttemptHead` and an `AnswerHead` say.
+pub trait CallCodec: Send + Sync {
+    /// Reads the head of a caller's request.
+    ///
+    /// # Errors
+    /// Returns `InvalidRequest` if a header is missing or does not parse.
+    fn read_call(&self, head: &request::Parts) -> Result<CallHead, Refusal>;
+
+    /// Writes the headers of one attempt: the caller's, without those that concern only its connection or that only the
+    /// router may set, and what the attempt adds.
+    fn write_attempt(&self, call: &Call, attempt: &AttemptHead) -> HeaderMap;
+
+    /// Reads the head of an upstream's answer.
+    fn read_answer(&self, head: &response::Parts) -> AnswerHead;
+
+    /// Reads the answer to a prefill.
+    ///
+    /// # Errors
+    /// Returns what is wrong with it.
+    fn read_prefill(&self, body: &[u8]) -> Result<Prefilled, String>;
+
+    /// Returns the path at which a DELETE frees a prefilled prompt.
+    fn release_path(&self, handle: &str) -> String;
+
+    /// Returns the header that names the request in an answer.
+    fn request_header(&self, id: &str) -> Option<(HeaderName, HeaderValue)>;
+}
--- /dev/null
+++ b/src/request/forward/generation.rs
@@ -0,0 +1,336 @@
+//! A generation: the prompt is prefilled at one engine, the tokens stream from another.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::{Request, Response};
+use http_body_util::Full;
+use smallvec::SmallVec;
+
+use crate::prelude::*;
+use crate::process::forwarding::directory::{Instance, Stage};
+use crate::process::forwarding::load::CallEnd;
+use crate::process::forwarding::selection::{Candidate, Need, Purpose};
+use crate::process::metrics;
+use crate::request::forward::attempt::{Attempt, AttemptFailure, Sending, choose, describe};
+use crate::request::forward::call::{Call, Part};
+use crate::request::forward::flow::{ForwardServices, Started};
+use crate::request::forward::link::{SendFailure, SendLimits, UpstreamBody, read_whole};
+use crate::request::forward::record::ForwardRecord;
+use crate::request::forward::stream::EventRelay;
+use crate::version::forwarding::{EngineLimits, Repeat};
+
+/// The largest answer to a prefill, in bytes.
+const MAX_PREFILL_ANSWER: usize = 64 << 10;
+
+/// The prefills tried before the decode engine is asked to run the prompt itself.
+const MAX_PREFILLS: u32 = 3;
+
+/// The time for the call that frees a prefilled prompt; it lapses by itself about as soon.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A prefilled prompt. Dropping it frees it at its engine, unless a decode engine took it.
+struct Ready {
+    cx: Arc<ForwardServices>,
+    holder: Arc<Instance>,
+    handle: Arc<str>,
+    until: Instant,
+    taken: bool,
+}
+
+impl Ready {
+    fn part(&self) -> Part {
+        Part::Decode {
+            source: self.holder.address,
+            handle: self.handle.clone(),
+        }
+    }
+}
+
+impl Drop for Ready {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let path = self.cx.codec.release_path(&self.handle);
+        let (cx, address) = (self.cx.clone(), self.holder.address);
+        let release = async move { release(&cx, address, &path).await };
+        self.cx.tasks.spawn(release);
+    }
+}
+
+async fn release(cx: &ForwardServices, address: SocketAddr, path: &str) {
+    let req = Request::delete(path).body(Full::default());
+    let Ok(req) = req else { return };
+    let limits = SendLimits {
+        connect: cx.settings.connect_timeout,
+        deadline: cx.clock.now() + RELEASE_TIMEOUT,
+        reuse: true,
+    };
+    if let Err(failure) = cx.link.send(address, req, limits).await {
+        // The engine drops the prompt by itself when its time is over.
+        log::debug!(target: "upstream", "prefilled prompt at {address} not freed: {failure}");
+    }
+}
+
+/// The attempts of one generation, which a stream that breaks off continues.
+pub struct Generation {
+    cx: Arc<ForwardServices>,
+    call: Arc<Call>,
+    service: ModelId,
+    engine: EngineLimits,
+    tried: SmallVec<[UpstreamId; 4]>,
+    /// The decode calls that reached an engine.
+    arrived: u32,
+    /// The decode calls that may have run.
+    runs: u32,
+}
+
+/// Runs a generation up to the head of its stream.
+///
+/// # Errors
+/// Returns a refusal that says whether it may have run.
+pub async fn run(
+    cx: &Arc<ForwardServices>,
+    call: &Arc<Call>,
+    service: &ModelId,
+    engine: EngineLimits,
+    record: &mut ForwardRecord,
+) -> Result<Started, Refusal> {
+    let mut generation = Generation {
+        cx: cx.clone(),
+        call: call.clone(),
+        service: service.clone(),
+        engine,
+        tried: SmallVec::new(),
+        arrived: 0,
+        runs: 0,
+    };
+    let mut ready = generation.prefill(record).await;
+    let mut last = "no engine takes new work".to_owned();
+    for _ in 0..cx.settings.max_tries {
+        if !generation.may_try() {
+            break;
+        }
+        let source = ready.as_mut().filter(|ready| cx.clock.now() < ready.until);
+        match generation.decode(source, None, record).await {
+            Ok((response, attempt)) => {
+                if response.status().is_success() {
+                    let relay = EventRelay::new(generation, attempt, response);
+                    return Ok(Started::Stream(Box::new(relay)));
+                }
+                attempt.end(CallEnd::Answered);
+                return Ok(Started::Whole(response));
+            }
+            Err(DecodeFailure::NoEngine) => break,
+            Err(DecodeFailure::Attempt(failure)) => {
+                record.note(&failure);
+                last = failure.to_string();
+                if failure.has_arrived() {
+                    // The engine may have taken the prompt, or found it gone; the next one runs the prompt itself.
+                    ready = None;
+                }
+            }
+        }
+    }
+    Err(generation.refusal(&last))
+}
+
+/// Why a decode call has no answer.
+pub enum DecodeFailure {
+    /// No engine may be tried.
+    NoEngine,
+    /// The attempt failed.
+    Attempt(AttemptFailure),
+}
+
+impl Generation {
+    /// Returns the services that requests need.
+    pub fn services(&self) -> &Arc<ForwardServices> {
+        &self.cx
+    }
+
+    /// Returns the call.
+    pub fn call(&self) -> &Arc<Call> {
+        &self.call
+    }
+
+    /// Tells whether another engine may be tried.
+    pub fn may_try(&self) -> bool {
+        let repeatable = self.call.route.repeat == Repeat::ResumableStream;
+        let in_time = self.cx.clock.now() < self.call.deadline;
+        in_time && (self.runs == 0 || (repeatable && self.runs < self.call.route.max_attempts))
+    }
+
+    fn prompt_tokens(&self) -> Tokens {
+        self.call.head.tokens.map_or(0, |tokens| tokens.prompt)
+    }
+
+    fn choose(&self, purpose: Purpose, near: &DataCentreId, tried: &[UpstreamId]) -> Option<Candidate> {
+        let tokens = self.call.head.tokens;
+        let need = Need {
+            purpose,
+            tokens: match purpose {
+                Purpose::Decode => tokens.map_or(0, crate::request::forward::call::TokenCounts::total),
+                Purpose::Prefill | Purpose::Call => self.prompt_tokens(),
+            },
+            near: near.clone(),
+            kv_tokens: self.engine.kv_tokens,
+        };
+        let stages: &[Stage] = match purpose {
+            Purpose::Prefill => &[Stage::Prefill],
+            Purpose::Decode | Purpose::Call => &[Stage::Decode, Stage::Whole],
+        };
+        let model = self.call.head.model.as_ref();
+        choose(&self.cx, &self.service, stages, model, &need, tried)
+    }
+
+    fn take_retry(&self, cause: &'static str) -> bool {
+        let state = &self.cx.state;
+        let hosts = state.peers().host_count();
+        let taken = state.retries.take(&self.service, hosts, self.cx.clock.now());
+        if taken {
+            ::metrics::counter!(metrics::RETRIES, "cause" => cause).increment(1);
+        }
+        taken
+    }
+
+    /// Has the prompt prefilled. `None` if no engine did; a decode engine can run the prompt itself.
+    async fn prefill(&mut self, record: &mut ForwardRecord) -> Option<Ready> {
+        let mut tried: SmallVec<[UpstreamId; 4]> = SmallVec::new();
+        let mut arrived = false;
+        let near = self.cx.data_centre.clone();
+        for _ in 0..MAX_PREFILLS {
+            let candidate = self.choose(Purpose::Prefill, &near, &tried)?;
+            if candidate.load.is_blocked || (arrived && !self.take_retry("prefill")) {
+                break;
+            }
+            record.note(describe(Purpose::Prefill, &candidate));
+            tried.push(candidate.instance.id.clone());
+            let queued = candidate.load.work().tokens;
+            match self.prefill_at(candidate.instance, queued).await {
+                Ok(ready) => {
+                    record.note("prefilled");
+                    return Some(ready);
+                }
+                Err(failure) => {
+                    record.note(&failure);
+                    arrived |= failure.has_arrived();
+                }
+            }
+        }
+        record.note("prefill at the decode engine");
+        None
+    }
+
+    async fn prefill_at(&self, holder: Arc<Instance>, queued: Tokens) -> Result<Ready, AttemptFailure> {
+        let cx = &self.cx;
+        let tokens = self.prompt_tokens();
+        let mut attempt = Attempt::begin(cx, holder.clone(), tokens);
+        let work = Duration::from_secs_f64((queued + tokens) as f64 / cx.settings.slow_prefill_rate);
+        let until = self.call.deadline.min(attempt.sent + cx.settings.prefill_grace + work);
+        let sending = Sending {
+            part: Part::Prefill,
+            last_event: None,
+            fresh: cx.settings.fresh_repeatable,
+            until,
+        };
+        let response = attempt.send(&self.call, sending).await?;
+        let mut body = response.into_body();
+        let whole = read_whole(&mut body, MAX_PREFILL_ANSWER);
+        let read = match tokio::time::timeout_at(until.into(), whole).await {
+            Ok(Ok(Some(whole))) => cx.codec.read_prefill(&whole),
+            Ok(Ok(None)) => Err(format!("answer above {MAX_PREFILL_ANSWER} bytes")),
+            Ok(Err(e)) => Err(e.to_string()),
+            Err(_) => Err("answer not complete in time".to_owned()),
+        };
+        match read {
+            Ok(prefilled) => {
+                attempt.measure((queued + tokens) as f64);
+                attempt.end(CallEnd::Answered);
+                let ttl = self.engine.handle_ttl.mul_f64(cx.settings.handle_part);
+                Ok(Ready {
+                    cx: cx.clone(),
+                    holder,
+                    handle: prefilled.handle,
+                    until: cx.clock.now() + ttl,
+                    taken: false,
+                })
+            }
+            Err(cause) => {
+                attempt.end(CallEnd::Failed);
+                Err(AttemptFailure::Sending(SendFailure::Broken { cause }))
+            }
+        }
+    }
+
+    /// Asks a decode engine for the stream, from `last_event` on if given.
+    ///
+    /// # Errors
+    /// Returns why there is no answer.
+    pub async fn decode_whole(
+        &mut self,
+        last_event: Option<String>,
+        record: &mut ForwardRecord,
+    ) -> Result<(Response<UpstreamBody>, Attempt), DecodeFailure> {
+        self.decode(None, last_event, record).await
+    }
+
+    async fn decode(
+        &mut self,
+        ready: Option<&mut Ready>,
+        last_event: Option<String>,
+        record: &mut ForwardRecord,
+    ) -> Result<(Response<UpstreamBody>, Attempt), DecodeFailure> {
+        let near = match &ready {
+            Some(ready) => ready.holder.data_centre.clone(),
+            None => self.cx.data_centre.clone(),
+        };
+        let candidate = self.choose(Purpose::Decode, &near, &self.tried);
+        let candidate = candidate.ok_or(DecodeFailure::NoEngine)?;
+        if self.arrived > 0 && !self.take_retry("decode") {
+            record.note("no retry left");
+            return Err(DecodeFailure::NoEngine);
+        }
+        record.note(describe(Purpose::Decode, &candidate));
+        self.tried.push(candidate.instance.id.clone());
+        let tokens = self.call.head.tokens.map_or(0, crate::request::forward::call::TokenCounts::total);
+        let mut attempt = Attempt::begin(&self.cx, candidate.instance, tokens);
+        let sending = Sending {
+            part: ready.as_ref().map_or(Part::Whole, |ready| ready.part()),
+            last_event,
+            fresh: self.cx.settings.fresh_stream,
+            until: self.call.deadline,
+        };
+        let sent = attempt.send(&self.call, sending).await;
+        match sent {
+            Ok(response) => {
+                self.arrived += 1;
+                self.runs += 1;
+                if let Some(ready) = ready {
+                    ready.taken = true;
+                }
+                Ok((response, attempt))
+            }
+            Err(failure) => {
+                self.arrived += u32::from(failure.has_arrived());
+                self.runs += u32::from(failure.run() == Run::Unknown);
+                Err(DecodeFailure::Attempt(failure))
+            }
+        }
+    }
+
+    fn refusal(&self, last: &str) -> Refusal {
+        if self.runs == 0 {
+            let message = format!("no engine could take the request ({last}); repeat after the time in Retry-After");
+            return Refusal::not_run(RefusalKind::Overloaded, message).after(self.cx.settings.retry_after);
+        }
+        let kind = if self.cx.clock.now() >= self.call.deadline {
+            RefusalKind::UpstreamTimeout
+        } else {
+            RefusalKind::UpstreamFailed
+        };
+        Refusal::unknown(kind, format!("{last}; repeat it only if it may run twice"))
+    }
+}
--- /dev/null
+++ b/src/request/forward/link.rs
@@ -0,0 +1,109 @@
+//! The border to the connections to upstreams.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use bytes::{Bytes, BytesMut};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Body;
+
+use crate::request::run::Run;
+
+/// Why an answer's body breaks off.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// The body of an upstream's answer. Dropping it before its end closes the connection.
+pub type UpstreamBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Bounds on one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendLimits {
+    /// The time to open a connection.
+    pub connect: Duration,
+    /// The time at which the head of the answer must be there.
+    pub deadline: Instant,
+    /// Whether a kept connection may carry the call.
+    pub reuse: bool,
+}
+
+/// Why a call got no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SendFailure {
+    /// No connection could be opened, so that nothing was sent.
+    Unreachable {
+        /// What failed.
+        cause: String,
+    },
+    /// The connection broke, or what came is no answer.
+    Broken {
+        /// What failed.
+        cause: String,
+    },
+    /// No answer came in time.
+    Timeout,
+}
+
+impl SendFailure {
+    /// Returns whether the call may have run.
+    pub fn run(&self) -> Run {
+        match self {
+            Self::Unreachable { .. } => Run::NotRun,
+            Self::Broken { .. } | Self::Timeout => Run::Unknown,
+        }
+    }
+}
+
+impl fmt::Display for SendFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable { cause } => write!(f, "upstream not reached ({cause})"),
+            Self::Broken { cause } => write!(f, "connection to the upstream broke ({cause})"),
+            Self::Timeout => f.write_str("upstream did not answer in time"),
+        }
+    }
+}
+
+impl std::error::Error for SendFailure {}
+
+/// Sends calls to upstreams.
+#[async_trait]
+pub trait UpstreamLink: Send + Sync {
+    /// Sends a call and waits for the head of its answer. Dropping the future closes the connection, which cancels the call.
+    ///
+    /// # Errors
+    /// Returns a `SendFailure` that tells whether the call may have run.
+    async fn send(
+        &self,
+        to: SocketAddr,
+        req: Request<Full<Bytes>>,
+        limits: SendLimits,
+    ) -> Result<Response<UpstreamBody>, SendFailure>;
+
+    /// Closes the idle connections to an upstream, which may have gone silent.
+    fn close_idle(&self, to: SocketAddr);
+}
+
+/// Reads a whole body; `None` if it is longer than `limit` bytes.
+///
+/// # Errors
+/// Returns the error of a body that breaks off.
+pub async fn read_whole<B>(body: &mut B, limit: usize) -> Result<Option<Bytes>, B::Error>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut parts = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(part) = frame?.into_data() else {
+            continue;
+        };
+        if parts.len() + part.len() > limit {
+            return Ok(None);
+        }
+        parts.extend_from_slice(&part);
+    }
+    Ok(Some(parts.freeze()))
+}
--- /dev/null
+++ b/src/request/forward/settings.rs
@@ -0,0 +1,55 @@
+//! The settings of the path of a forwarded request.
+
+use std::time::Duration;
+
+/// The settings of the path of a forwarded request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ForwardSettings {
+    /// The deadline of a request that states none.
+    pub default_deadline: Duration,
+    /// The time to open a connection to an upstream. Upstreams are a few milliseconds away.
+    pub connect_timeout: Duration,
+    /// The upstreams tried for a request in all, those that could not be reached and that refused included.
+    pub max_tries: u32,
+    /// The part of the time left for which an idempotent call waits for an upstream while another one could run it.
+    pub patience: f64,
+    /// The least such time.
+    pub least_patience: Duration,
+    /// The time that a prefill may take besides a multiple of the time expected.
+    pub prefill_grace: Duration,
+    /// The prompt tokens a second that a slow engine prefills behind a long queue.
+    pub slow_prefill_rate: f64,
+    /// The time between two events of a stream that may be resumed after which another upstream continues it.
+    pub resume_gap: Duration,
+    /// The age from which a prefilled prompt is not sent for any more, as a part of the time for which it is kept.
+    pub handle_part: f64,
+    /// What is told to callers that are refused for want of an upstream.
+    pub retry_after: Duration,
+    /// The time since an upstream was heard within which a call that must run once is sent on a kept connection. An older
+    /// one may have gone silent, and then it is unknown whether the call ran.
+    pub fresh_once: Duration,
+    /// The same for streams, which cost more to lose.
+    pub fresh_stream: Duration,
+    /// The same for calls that may be repeated.
+    pub fresh_repeatable: Duration,
+}
+
+impl Default for ForwardSettings {
+    fn default() -> Self {
+        Self {
+            default_deadline: Duration::from_secs(10),
+            connect_timeout: Duration::from_millis(150),
+            max_tries: 5,
+            patience: 0.4,
+            least_patience: Duration::from_millis(150),
+            prefill_grace: Duration::from_millis(400),
+            slow_prefill_rate: 12_000.0,
+            resume_gap: Duration::from_millis(1500),
+            handle_part: 0.8,
+            retry_after: Duration::from_millis(500),
+            fresh_once: Duration::from_secs(1),
+            fresh_stream: Duration::from_millis(400),
+            fresh_repeatable: Duration::from_secs(5),
+        }
+    }
+}
--- a/src/version.rs
+++ b/src/version.rs
@@ -4,5 +4,6 @@
 pub mod compiled;
 pub mod document;
 pub mod fields;
+pub mod forwarding;
 pub mod key;
 pub mod repository;
--- a/src/version/cell.rs
+++ b/src/version/cell.rs
@@ -8,14 +8,26 @@
 use crate::prelude::*;
 use crate::version::compiled::Compiled;
 
+/// What has a version.
+pub trait Versioned {
+    /// Returns the version; 0 means that there is none yet.
+    fn version(&self) -> Version;
+}
+
+impl Versioned for Compiled {
+    fn version(&self) -> Version {
+        self.version
+    }
+}
+
 /// Holds the version in force. Versions only grow.
 #[derive(Debug)]
-pub struct VersionCell {
-    current: ShardedLock<Arc<Compiled>>,
+pub struct VersionCell<T = Compiled> {
+    current: ShardedLock<Arc<T>>,
     changed: watch::Sender<Version>,
 }
 
-impl Default for VersionCell {
+impl<T: Default> Default for VersionCell<T> {
     fn default() -> Self {
         Self {
             current: ShardedLock::default(),
@@ -24,9 +36,9 @@
     }
 }
 
-impl VersionCell {
+impl<T: Versioned> VersionCell<T> {
     /// Returns the version in force.
-    pub fn current(&self) -> Arc<Compiled> {
+    pub fn current(&self) -> Arc<T> {
         self.current
             .read()
             .unwrap_or_else(PoisonError::into_inner)
@@ -34,11 +46,11 @@
     }
 
     /// Puts a version in force unless it is older than or equal to the one in force; tells whether it did.
-    pub fn advance(&self, compiled: Compiled) -> bool {
-        let version = compiled.version;
+    pub fn advance(&self, compiled: T) -> bool {
+        let version = compiled.version();
         {
             let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
-            if version <= current.version {
+            if version <= current.version() {
                 return false;
             }
             *current = Arc::new(compiled);
--- a/tests/suite/callers.rs
+++ b/tests/suite/callers.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-use hibiscusspread::connection::caller::CallerSettings;
+use hibiscusspread::connection::caller_listener::CallerSettings;
 use hibiscusspread::connection::http_client::AnswerBody;
 use hibiscusspread::connection::service::HttpUpstreams;
 use hibiscusspread::emulator::booking::{BookingFaults, CrashPoint};
