Wait for room at a decode engine before the prompt is prefilled

Requests now wait in a line, those that can still be on time first, until an engine has room for prompt and output by this host's count and the other hosts' reports.

--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -10,6 +10,7 @@
 use crate::process::forwarding::load::LoadBook;
 use crate::process::forwarding::peers::PeerBook;
 use crate::process::forwarding::retry_share::RetryShare;
+use crate::process::forwarding::rooms::Rooms;
 use crate::process::forwarding::settings::ForwardingSettings;
 use crate::process::forwarding::usage::UsageBook;
 use crate::process::message::CrashReport;
@@ -34,6 +35,8 @@
     pub usage: UsageBook,
     /// The retries.
     pub retries: RetryShare,
+    /// The requests that wait for room at engines.
+    pub rooms: Arc<Rooms>,
     directory: ShardedLock<Directory>,
     peers: Mutex<PeerBook>,
     crashes: Mutex<(CrashBook, Vec<(Instant, CrashReport)>)>,
@@ -49,6 +52,7 @@
             loads: LoadBook::new(settings.load.clone()),
             usage: UsageBook::new(settings.usage.clone()),
             retries: RetryShare::new(settings.retries.clone()),
+            rooms: Arc::default(),
             directory: ShardedLock::new(Directory::new(settings.directory.clone())),
             peers: Mutex::default(),
             crashes: Mutex::new((CrashBook::new(CRASH_FINGERPRINTS), Vec::new())),
@@ -81,6 +85,7 @@
         for left in change.left.iter().filter(|left| !left.draining) {
             self.loads.forget(left);
         }
+        self.rooms.changed(asked);
         change
     }
 
--- /dev/null
+++ b/src/process/forwarding/line.rs
@@ -0,0 +1,107 @@
+//! The line of requests that wait for room at an engine. Holds no I/O and reads no clock.
+//!
+//! Requests that can still meet their target go first, in the order of their targets; the others follow in the order of their
+//! arrival. A burst then makes some requests late, rather than all of them.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::prelude::*;
+
+/// Names one request within a line.
+pub type LineNo = u64;
+
+/// A request that waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Waiter {
+    /// The urgency; 0 is the most urgent.
+    pub priority: u8,
+    /// The time until which room must be found to meet the target.
+    pub on_time_until: Instant,
+    /// The tokens that it needs room for.
+    pub tokens: Tokens,
+}
+
+impl Waiter {
+    /// Tells whether it can still meet its target.
+    pub fn is_on_time(&self, now: Instant) -> bool {
+        now < self.on_time_until
+    }
+}
+
+/// The requests that wait for one service.
+#[derive(Debug, Default)]
+pub struct Line {
+    next: LineNo,
+    waiters: BTreeMap<LineNo, Waiter>,
+    /// The moving average of the time for which a request holds its room, in seconds.
+    holding: Option<f64>,
+}
+
+/// The weight of the newest holding time in the moving average.
+const NEWEST: f64 = 0.1;
+
+/// The holding time assumed before any was measured, in seconds.
+const FIRST_HOLDING: f64 = 2.5;
+
+impl Line {
+    /// Adds a request.
+    pub fn enter(&mut self, waiter: Waiter) -> LineNo {
+        let no = self.next;
+        self.next += 1;
+        self.waiters.insert(no, waiter);
+        no
+    }
+
+    /// Removes a request.
+    pub fn leave(&mut self, no: LineNo) {
+        self.waiters.remove(&no);
+    }
+
+    /// Returns the request that is next.
+    pub fn head(&self, now: Instant) -> Option<LineNo> {
+        let rank = |no: LineNo, waiter: &Waiter| {
+            let late = !waiter.is_on_time(now);
+            let target = if late { None } else { Some(waiter.on_time_until) };
+            (late, waiter.priority, target, no)
+        };
+        self.waiters
+            .iter()
+            .min_by_key(|(no, waiter)| rank(**no, waiter))
+            .map(|(no, _)| *no)
+    }
+
+    /// Returns the tokens of the requests that wait.
+    pub fn tokens(&self) -> Tokens {
+        self.waiters.values().map(|waiter| waiter.tokens).sum()
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Tells whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    /// Takes note of the time for which a request held its room.
+    pub fn held(&mut self, time: Duration) {
+        let time = time.as_secs_f64();
+        let old = self.holding.unwrap_or(time);
+        self.holding = Some(old + (time - old) * NEWEST);
+    }
+
+    /// Predicts the wait of a request that enters now: all room is given out once in a holding time, and this host gets
+    /// its even part of `room` tokens.
+    pub fn predicted_wait(&self, tokens: Tokens, room: Tokens, hosts: usize) -> Duration {
+        let holding = self.holding.unwrap_or(FIRST_HOLDING);
+        let part = room as f64 / hosts.max(1) as f64;
+        if part <= 0.0 {
+            return Duration::MAX;
+        }
+        let ahead = (self.tokens() + tokens) as f64;
+        Duration::try_from_secs_f64(ahead / part * holding).unwrap_or(Duration::MAX)
+    }
+}
--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -125,12 +125,14 @@
         }
     }
 
-    /// Counts a call that is about to be sent.
-    pub fn begin(&self, instance: &Instance, call: CallNo, tokens: Tokens, now: Instant) {
-        self.with(instance, |load| {
-            load.own.add(Work { calls: 1, tokens });
-            load.waiting.push((call, now));
-        });
+    /// Reserves room for a call.
+    pub fn begin(&self, instance: &Instance, tokens: Tokens) {
+        self.with(instance, |load| load.own.add(Work { calls: 1, tokens }));
+    }
+
+    /// Takes note that a call is sent.
+    pub fn sent(&self, instance: &Instance, call: CallNo, now: Instant) {
+        self.with(instance, |load| load.waiting.push((call, now)));
     }
 
     /// Takes note that a call has been answered, or a first part of it.
--- a/src/process/forwarding/usage.rs
+++ b/src/process/forwarding/usage.rs
@@ -115,18 +115,19 @@
         }
     }
 
-    /// Charges a request.
+    /// Charges a request that may wait up to `longest` for its tokens; returns the time to wait.
     ///
     /// # Errors
-    /// Returns the time until the tokens will be there.
+    /// Returns the time until the tokens will be there, if it is longer; nothing is charged.
     pub fn charge(
         &self,
         customer: &ForwardCustomer,
         tokens: Tokens,
+        longest: Duration,
         now: Instant,
-    ) -> Result<(), Duration> {
+    ) -> Result<Duration, Duration> {
         if customer.rate == 0 {
-            return Ok(());
+            return Ok(Duration::ZERO);
         }
         let mut accounts = self.accounts.lock(&customer.id);
         let account = accounts
@@ -137,14 +138,16 @@
         account.refill(now);
         // A request above the whole burst is let through by a full bucket; it could never be served otherwise.
         let wanted = (tokens as f64).min(account.burst);
-        if account.level < wanted {
-            let wait = (wanted - account.level) / account.rate;
-            return Err(Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX));
+        let wait = ((wanted - account.level) / account.rate).max(0.0);
+        let wait = Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX);
+        if wait > longest {
+            return Err(wait);
         }
+        // The level of an account from which requests wait is below 0, so that later ones wait behind them.
         account.debit(tokens as f64);
         account.granted += signed(tokens);
         account.changed = now;
-        Ok(())
+        Ok(wait)
     }
 
     /// Gives back the tokens of a request that did not run.
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -79,7 +79,7 @@
     pub instance: Arc<Instance>,
     no: CallNo,
     tokens: Tokens,
-    /// When it was sent.
+    /// When it was sent, or began if it was not sent yet.
     pub sent: Instant,
     ended: bool,
 }
@@ -89,7 +89,7 @@
     pub fn begin(cx: &Arc<ForwardServices>, instance: Arc<Instance>, tokens: Tokens) -> Self {
         let no = rand::random();
         let now = cx.clock.now();
-        cx.state.loads.begin(&instance, no, tokens, now);
+        cx.state.loads.begin(&instance, tokens);
         if tokens > 0 {
             cx.state.report_soon();
         }
@@ -112,6 +112,8 @@
         call: &Call,
         sending: Sending,
     ) -> Result<Response<UpstreamBody>, AttemptFailure> {
+        self.sent = self.cx.clock.now();
+        self.cx.state.loads.sent(&self.instance, self.no, self.sent);
         let result = self.exchange(call, sending).await;
         let now = self.cx.clock.now();
         match &result {
@@ -222,6 +224,7 @@
         loads.end(&self.instance, self.no, self.tokens, end, now);
         if self.tokens > 0 {
             self.cx.state.report_soon();
+            self.cx.state.rooms.changed(now);
         }
     }
 }
@@ -232,21 +235,20 @@
     }
 }
 
-/// Chooses an upstream of `service` for `need` among those that run `stage`, without those in `tried`.
+/// Chooses an upstream of `service` for `need` among those that run one of `stages`, hold the model and are accepted.
 pub fn choose(
     cx: &ForwardServices,
     service: &ModelId,
     stages: &[Stage],
     model: Option<&Name>,
     need: &Need,
-    tried: &[UpstreamId],
+    accept: impl Fn(&Candidate) -> bool,
 ) -> Option<Candidate> {
     let now = cx.clock.now();
     let takers = cx.state.takers(service);
     let fits = |instance: &&Arc<Instance>| {
         let has_model = |model: &Name| instance.models.is_empty() || instance.models.contains(model);
         stages.contains(&instance.stage)
-            && !tried.contains(&instance.id)
             && model.is_none_or(has_model)
     };
     let candidates: Vec<_> = takers
@@ -256,6 +258,7 @@
             instance: instance.clone(),
             load: cx.state.loads.view(instance, now),
         })
+        .filter(accept)
         .collect();
     let chosen = cx.selection.choose(need, &candidates)?;
     candidates.into_iter().nth(chosen)
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -124,7 +124,7 @@
         let message = "equal requests crashed their upstreams; don't repeat it";
         return Err(Refusal::not_run(RefusalKind::Unavailable, message).after(cx.settings.default_deadline));
     }
-    let charged = charge(cx, call)?;
+    let charged = charge(cx, call, record).await?;
     let table = cx.state.tables.current();
     let Some(service) = call.route.pick(rand::random()) else {
         let message = "route has no service; correct the configuration";
@@ -149,15 +149,21 @@
     started
 }
 
-/// Charges the customer; returns what was charged, for a refund if the request does not run.
-fn charge(cx: &ForwardServices, call: &Call) -> Result<Option<(CustomerId, Tokens)>, Refusal> {
+/// Charges the customer and waits for its rate; returns what was charged, for a refund if the request does not run.
+async fn charge(
+    cx: &ForwardServices,
+    call: &Call,
+    record: &mut ForwardRecord,
+) -> Result<Option<(CustomerId, Tokens)>, Refusal> {
     let customer = call.customer.as_ref().filter(|customer| customer.rate > 0);
     let Some(customer) = customer else {
         return Ok(None);
     };
     let tokens = call.cost();
-    let charged = cx.state.usage.charge(customer, tokens, cx.clock.now());
-    charged.map_err(|wait| {
+    let target = call.route.target.unwrap_or(cx.settings.default_target);
+    let longest = target.mul_f64(cx.settings.wait_part);
+    let charged = cx.state.usage.charge(customer, tokens, longest, cx.clock.now());
+    let wait = charged.map_err(|wait| {
         let message = "rate of the customer used up; repeat after the time in Retry-After";
         Refusal::not_run(RefusalKind::RateLimited, message)
             .after(wait)
@@ -169,5 +175,9 @@
             ))
     })?;
     cx.state.report_soon();
+    if !wait.is_zero() {
+        record.note(format_args!("waits {}ms for the customer's rate", wait.as_millis()));
+        tokio::time::sleep(wait).await;
+    }
     Ok(Some((customer.id.clone(), tokens)))
 }
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -10,11 +10,12 @@
 
 use crate::prelude::*;
 use crate::process::forwarding::directory::{Instance, Stage};
+use crate::process::forwarding::line::Waiter;
 use crate::process::forwarding::load::CallEnd;
 use crate::process::forwarding::selection::{Candidate, Need, Purpose};
 use crate::process::metrics;
 use crate::request::forward::attempt::{Attempt, AttemptFailure, Sending, choose, describe};
-use crate::request::forward::call::{Call, Part};
+use crate::request::forward::call::{Call, Part, TokenCounts};
 use crate::request::forward::flow::{ForwardServices, Started};
 use crate::request::forward::link::{SendFailure, SendLimits, UpstreamBody, read_whole};
 use crate::request::forward::record::ForwardRecord;
@@ -107,14 +108,16 @@
         arrived: 0,
         runs: 0,
     };
-    let mut ready = generation.prefill(record).await;
+    let mut room = Some(generation.wait_for_room(record).await?);
+    let near = room.as_ref().map(|room| room.instance.data_centre.clone());
+    let mut ready = generation.prefill(&near.unwrap_or_default(), record).await;
     let mut last = "no engine takes new work".to_owned();
     for _ in 0..cx.settings.max_tries {
         if !generation.may_try() {
             break;
         }
         let source = ready.as_mut().filter(|ready| cx.clock.now() < ready.until);
-        match generation.decode(source, None, record).await {
+        match generation.decode(room.take(), source, None, record).await {
             Ok((response, attempt)) => {
                 if response.status().is_success() {
                     let relay = EventRelay::new(generation, attempt, response);
@@ -156,6 +159,12 @@
         &self.call
     }
 
+    /// Takes note that the request held its room since `since`.
+    pub fn note_held(&self, since: Instant) {
+        let held = self.cx.clock.now().saturating_duration_since(since);
+        self.cx.state.rooms.held(&self.service, held);
+    }
+
     /// Tells whether another engine may be tried.
     pub fn may_try(&self) -> bool {
         let repeatable = self.call.route.repeat == Repeat::ResumableStream;
@@ -167,12 +176,20 @@
         self.call.head.tokens.map_or(0, |tokens| tokens.prompt)
     }
 
-    fn choose(&self, purpose: Purpose, near: &DataCentreId, tried: &[UpstreamId]) -> Option<Candidate> {
-        let tokens = self.call.head.tokens;
+    fn total_tokens(&self) -> Tokens {
+        self.call.head.tokens.map_or(0, TokenCounts::total)
+    }
+
+    fn choose(
+        &self,
+        purpose: Purpose,
+        near: &DataCentreId,
+        accept: impl Fn(&Candidate) -> bool,
+    ) -> Option<Candidate> {
         let need = Need {
             purpose,
             tokens: match purpose {
-                Purpose::Decode => tokens.map_or(0, crate::request::forward::call::TokenCounts::total),
+                Purpose::Decode => self.total_tokens(),
                 Purpose::Prefill | Purpose::Call => self.prompt_tokens(),
             },
             near: near.clone(),
@@ -183,7 +200,98 @@
             Purpose::Decode | Purpose::Call => &[Stage::Decode, Stage::Whole],
         };
         let model = self.call.head.model.as_ref();
-        choose(&self.cx, &self.service, stages, model, &need, tried)
+        choose(&self.cx, &self.service, stages, model, &need, accept)
+    }
+
+    /// Waits until a decode engine has room for the request, and reserves it. The prompt is prefilled only then, because a
+    /// prefilled prompt that no engine has room for lapses.
+    async fn wait_for_room(&mut self, record: &mut ForwardRecord) -> Result<Attempt, Refusal> {
+        let cx = self.cx.clone();
+        let rooms = &cx.state.rooms;
+        let on_time_until = self.on_time_until();
+        if rooms.is_empty(&self.service)
+            && let Some(room) = self.reserve(on_time_until, record)
+        {
+            return Ok(room);
+        }
+        let give_up = self.give_up_at()?;
+        let waiter = Waiter {
+            priority: self.call.priority(),
+            on_time_until,
+            tokens: self.total_tokens(),
+        };
+        record.note("waits for room");
+        let place = rooms.enter(&self.service, waiter, &cx.clock);
+        loop {
+            if place.is_head()
+                && let Some(room) = self.reserve(on_time_until, record)
+            {
+                return Ok(room);
+            }
+            let now = cx.clock.now();
+            if now >= give_up {
+                return Err(self.refusal("no engine had room"));
+            }
+            let is_on_time = now < on_time_until;
+            place.wait(if is_on_time { on_time_until.min(give_up) } else { give_up }).await;
+            if is_on_time && cx.clock.now() >= on_time_until {
+                place.pass_on();
+            }
+        }
+    }
+
+    /// Returns the time until which room must be found for the first event to be on time. The caller's time left tells how
+    /// long it has waited already, if this is not its first try.
+    fn on_time_until(&self) -> Instant {
+        let settings = &self.cx.settings;
+        let route = &self.call.route;
+        let target = route.target.unwrap_or(settings.default_target);
+        let patience = self.call.head.patience.unwrap_or_default();
+        let waited = route.timeout.map_or(Duration::ZERO, |timeout| timeout.saturating_sub(patience));
+        self.call.arrived + target.mul_f64(settings.wait_part).saturating_sub(waited)
+    }
+
+    /// Returns the time until which the request may wait for room.
+    fn give_up_at(&self) -> Result<Instant, Refusal> {
+        let cx = &self.cx;
+        let takers = cx.state.takers(&self.service);
+        let engines = takers.iter().filter(|taker| taker.stage != Stage::Prefill).count();
+        if engines == 0 {
+            return Err(self.refusal("no engine takes new work"));
+        }
+        let room = self.engine.kv_tokens.saturating_mul(engines as u64);
+        let hosts = cx.state.peers().host_count();
+        let tokens = self.total_tokens();
+        let wait = cx.state.rooms.predicted_wait(&self.service, tokens, room, hosts);
+        let now = cx.clock.now();
+        let left = self.call.deadline.saturating_duration_since(now);
+        let longest = left.mul_f64(cx.settings.late_wait_part);
+        if wait > longest {
+            let message = "engines are busy for longer than the request may wait; repeat after the time in Retry-After";
+            return Err(Refusal::not_run(RefusalKind::Overloaded, message)
+                .after(wait.min(left / 3))
+                .with_figures(format!("predicted_wait={}ms longest={}ms", wait.as_millis(), longest.as_millis())));
+        }
+        Ok(now + longest)
+    }
+
+    /// Reserves room at the best decode engine that has it.
+    fn reserve(&mut self, on_time_until: Instant, record: &mut ForwardRecord) -> Option<Attempt> {
+        let settings = &self.cx.settings;
+        let is_on_time = self.cx.clock.now() < on_time_until;
+        let filled = if is_on_time { settings.filled } else { settings.filled_late };
+        let tokens = self.total_tokens();
+        let limit = self.engine.kv_tokens as f64 * filled;
+        let has_room = |candidate: &Candidate| {
+            let work = candidate.load.work();
+            let fits = (work.tokens + tokens) as f64 <= limit || work.calls == 0;
+            fits && work.calls < candidate.instance.slots
+                && !candidate.load.is_blocked
+                && !self.tried.contains(&candidate.instance.id)
+        };
+        let candidate = self.choose(Purpose::Decode, &self.cx.data_centre, has_room)?;
+        record.note(describe(Purpose::Decode, &candidate));
+        Some(Attempt::begin(&self.cx, candidate.instance, tokens))
     }
 
     fn take_retry(&self, cause: &'static str) -> bool {
@@ -197,12 +305,12 @@
     }
 
     /// Has the prompt prefilled. `None` if no engine did; a decode engine can run the prompt itself.
-    async fn prefill(&mut self, record: &mut ForwardRecord) -> Option<Ready> {
+    async fn prefill(&mut self, near: &DataCentreId, record: &mut ForwardRecord) -> Option<Ready> {
         let mut tried: SmallVec<[UpstreamId; 4]> = SmallVec::new();
         let mut arrived = false;
-        let near = self.cx.data_centre.clone();
         for _ in 0..MAX_PREFILLS {
-            let candidate = self.choose(Purpose::Prefill, &near, &tried)?;
+            let is_new = |candidate: &Candidate| !tried.contains(&candidate.instance.id);
+            let candidate = self.choose(Purpose::Prefill, near, is_new)?;
             if candidate.load.is_blocked || (arrived && !self.take_retry("prefill")) {
                 break;
             }
@@ -274,29 +382,27 @@
         last_event: Option<String>,
         record: &mut ForwardRecord,
     ) -> Result<(Response<UpstreamBody>, Attempt), DecodeFailure> {
-        self.decode(None, last_event, record).await
+        self.decode(None, None, last_event, record).await
     }
 
+    /// Asks the engine that holds `room` for the stream, or the best other one.
     async fn decode(
         &mut self,
+        room: Option<Attempt>,
         ready: Option<&mut Ready>,
         last_event: Option<String>,
         record: &mut ForwardRecord,
     ) -> Result<(Response<UpstreamBody>, Attempt), DecodeFailure> {
-        let near = match &ready {
-            Some(ready) => ready.holder.data_centre.clone(),
-            None => self.cx.data_centre.clone(),
+        let room = match room {
+            Some(room) => Some(room),
+            None => self.next_engine(ready.as_deref(), record),
         };
-        let candidate = self.choose(Purpose::Decode, &near, &self.tried);
-        let candidate = candidate.ok_or(DecodeFailure::NoEngine)?;
+        let mut attempt = room.ok_or(DecodeFailure::NoEngine)?;
         if self.arrived > 0 && !self.take_retry("decode") {
             record.note("no retry left");
             return Err(DecodeFailure::NoEngine);
         }
-        record.note(describe(Purpose::Decode, &candidate));
-        self.tried.push(candidate.instance.id.clone());
-        let tokens = self.call.head.tokens.map_or(0, crate::request::forward::call::TokenCounts::total);
-        let mut attempt = Attempt::begin(&self.cx, candidate.instance, tokens);
+        self.tried.push(attempt.instance.id.clone());
         let sending = Sending {
             part: ready.as_ref().map_or(Part::Whole, |ready| ready.part()),
             last_event,
@@ -321,6 +427,15 @@
         }
     }
 
+    /// Reserves room at an engine that was not tried yet, however full it is.
+    fn next_engine(&self, ready: Option<&Ready>, record: &mut ForwardRecord) -> Option<Attempt> {
+        let near = ready.map_or(&self.cx.data_centre, |ready| &ready.holder.data_centre);
+        let is_new = |candidate: &Candidate| !self.tried.contains(&candidate.instance.id);
+        let candidate = self.choose(Purpose::Decode, near, is_new)?;
+        record.note(describe(Purpose::Decode, &candidate));
+        Some(Attempt::begin(&self.cx, candidate.instance, self.total_tokens()))
+    }
+
     fn refusal(&self, last: &str) -> Refusal {
         if self.runs == 0 {
             let message = format!("no engine could take the request ({last}); repeat after the time in Retry-After");
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -11,7 +11,7 @@
 use crate::prelude::*;
 use crate::process::forwarding::directory::Stage;
 use crate::process::forwarding::load::CallEnd;
-use crate::process::forwarding::selection::{Need, Purpose};
+use crate::process::forwarding::selection::{Candidate, Need, Purpose};
 use crate::process::metrics;
 use crate::request::forward::attempt::{Attempt, AttemptFailure, Sending, choose, describe, is_short};
 use crate::request::forward::call::{Call, Part};
@@ -97,7 +97,7 @@
 }
 
 impl Calls<'_> {
-    fn choose(&self) -> Option<crate::process::forwarding::selection::Candidate> {
+    fn choose(&self) -> Option<Candidate> {
         let need = Need {
             purpose: Purpose::Call,
             tokens: 0,
@@ -106,7 +106,9 @@
         };
         let stages = [Stage::Whole, Stage::Decode];
         let model = self.call.head.model.as_ref();
-        choose(self.cx, self.service, &stages, model, &need, &self.tried)
+        choose(self.cx, self.service, &stages, model, &need, |candidate| {
+            !self.tried.contains(&candidate.instance.id)
+        })
     }
 
     fn take_retry(&self, now: Instant) -> bool {
--- a/src/request/forward/settings.rs
+++ b/src/request/forward/settings.rs
@@ -23,6 +23,17 @@
     pub resume_gap: Duration,
     /// The age from which a prefilled prompt is not sent for any more, as a part of the time for which it is kept.
     pub handle_part: f64,
+    /// The part of a route's target for which a request may wait for its customer's rate, and a stream for room. The rest is
+    /// needed for the prompt and the first event.
+    pub wait_part: f64,
+    /// The target of a route that states none.
+    pub default_target: Duration,
+    /// The part of the time until its deadline for which a stream may wait for room, late as it is.
+    pub late_wait_part: f64,
+    /// The part of an engine's memory that requests may fill which can still meet their target.
+    pub filled: f64,
+    /// The part that other requests may fill, which leaves room for those.
+    pub filled_late: f64,
     /// What is told to callers that are refused for want of an upstream.
     pub retry_after: Duration,
     /// The time since an upstream was heard within which a call that must run once is sent on a kept connection. An older
@@ -46,6 +57,11 @@
             slow_prefill_rate: 12_000.0,
             resume_gap: Duration::from_millis(1500),
             handle_part: 0.8,
+            wait_part: 0.6,
+            default_target: Duration::from_secs(1),
+            late_wait_part: 0.55,
+            filled: 1.0,
+            filled_late: 0.85,
             retry_after: Duration::from_millis(500),
             fresh_once: Duration::from_secs(1),
             fresh_stream: Duration::from_millis(400),
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -89,6 +89,7 @@
                 }
                 Ok(None) => {
                     if let Some(attempt) = self.attempt.take() {
+                        self.generation.note_held(attempt.sent);
                         attempt.end(CallEnd::Answered);
                     }
                     let rest = self.splitter.as_mut().map(EventSplitter::finish);
--- a/src/version/forwarding.rs
+++ b/src/version/forwarding.rs
@@ -58,6 +58,8 @@
     pub repeat: Repeat,
     /// The longest time for which a caller is kept waiting; `None` for no limit of its own.
     pub timeout: Option<Duration>,
+    /// The time within which an answer, or the first event of a stream, is on time.
+    pub target: Option<Duration>,
     /// The upstreams to which one request may be sent at most.
     pub max_attempts: u32,
     /// The urgency; 0 is the most urgent.
