Change two engines from prefill to decode by orders of one holder

Cause: 12 decode engines have memory for about 25 new streams a second, while 6 prefill engines were busy for a quarter of their time at 18 a second; bursts waited for memory. One host at a time, by a lease in the store with its revision as fencing number, orders engines to the division of prefill and decode that the settings state. Small requests no longer wait behind large ones for the customer's rate, and a request counts with its average memory.

--- a/src/process/forwarding/exchange.rs
+++ b/src/process/forwarding/exchange.rs
@@ -114,6 +114,7 @@
         for crash in &report.crashes {
             self.state.note_crash(crash, false, now);
         }
+        self.state.note_version(report.version);
         self.state.rooms.changed(now);
         if report.leaving {
             self.state.usage.forget(&report.host);
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::sync::ShardedLock;
+use tokio::sync::watch;
 
 use crate::prelude::*;
 use crate::process::forwarding::directory::{Directory, DirectoryChange, Instance};
@@ -42,6 +43,8 @@
     crashes: Mutex<(CrashBook, Vec<(Instant, CrashReport)>)>,
     /// Wakes the task that reports to other hosts.
     changed: tokio::sync::Notify,
+    /// The newest version that any host is known to have in force.
+    newest: watch::Sender<Version>,
 }
 
 impl FleetState {
@@ -57,6 +60,7 @@
             peers: Mutex::default(),
             crashes: Mutex::new((CrashBook::new(CRASH_FINGERPRINTS), Vec::new())),
             changed: tokio::sync::Notify::new(),
+            newest: watch::Sender::new(0),
         }
     }
 
@@ -129,6 +133,36 @@
         news.iter().map(|(_, news)| news.clone()).collect()
     }
 
+    /// Takes note of a version that another host has in force.
+    pub fn note_version(&self, version: Version) {
+        self.newest.send_if_modified(|newest| {
+            let is_newer = version > *newest;
+            if is_newer {
+                *newest = version;
+            }
+            is_newer
+        });
+    }
+
+    /// Tells whether another host has a newer version in force.
+    pub fn is_behind(&self) -> bool {
+        *self.newest.borrow() > self.tables.current().version
+    }
+
+    /// Waits until another host has had a newer version in force for `delay` than this one.
+    pub async fn behind(&self, delay: Duration) {
+        let mut newest = self.newest.subscribe();
+        loop {
+            let own = self.tables.current().version;
+            // The sender lives as long as `self`.
+            let _ = newest.wait_for(|newest| *newest > own).await;
+            tokio::time::sleep(delay).await;
+            if self.is_behind() {
+                return;
+            }
+        }
+    }
+
     /// Has the change reported to the other hosts.
     pub fn report_soon(&self) {
         self.changed.notify_one();
--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -17,6 +17,7 @@
 use crate::process::dump::Dump;
 use crate::process::forwarding::exchange::Exchange;
 use crate::process::forwarding::fleet::FleetState;
+use crate::process::forwarding::order_giver::OrderGiver;
 use crate::process::forwarding::peers::Registration;
 use crate::process::forwarding::selection;
 use crate::process::forwarding::settings::ForwardingSettings;
@@ -31,6 +32,9 @@
 /// The time before the end of the grace at which a draining host gives up on open requests.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
+/// What is added to the least time between the orders of two hosts, for orders under way.
+const ORDER_QUIET_MARGIN: Duration = Duration::from_millis(500);
+
 /// What a forwarding host needs of the platform.
 pub struct ForwardOutside {
     /// The store.
@@ -98,11 +102,23 @@
             registration,
             unreadable: Mutex::default(),
         });
+        let link = Arc::new(PooledLink(UpstreamPool::new()));
+        let orders = OrderGiver {
+            host: settings.host.clone(),
+            incarnation: exchange.incarnation,
+            state: state.clone(),
+            store: watchers.store.clone(),
+            link: link.clone(),
+            codec: outside.call_codec.clone(),
+            clock: clock.clone(),
+            settings: forwarding.roles.clone(),
+            quiet: forwarding.order_quiet + ORDER_QUIET_MARGIN,
+        };
         let cx = Arc::new(ForwardServices {
             data_centre: settings.data_centre.clone(),
             state: state.clone(),
             selection: selection::create(settings.policy, forwarding.selection.clone()),
-            link: Arc::new(PooledLink(UpstreamPool::new())),
+            link,
             codec: outside.call_codec,
             clock,
             settings: forwarding.requests.clone(),
@@ -113,7 +129,7 @@
             Some(address) => Some(start_operators(address, &settings, &state, &draining)?),
             None => None,
         };
-        let tasks = spawn_tasks(&watchers, &exchange);
+        let tasks = spawn_tasks(&watchers, &exchange, orders);
         let listener = TcpListener::bind(settings.callers_address).await?;
         let callers_address = listener.local_addr()?;
         let caller_settings = CallerSettings {
@@ -161,7 +177,11 @@
     }
 }
 
-fn spawn_tasks(watchers: &Arc<Watchers>, exchange: &Arc<Exchange>) -> Vec<JoinHandle<()>> {
+fn spawn_tasks(
+    watchers: &Arc<Watchers>,
+    exchange: &Arc<Exchange>,
+    orders: OrderGiver,
+) -> Vec<JoinHandle<()>> {
     let (a, b, c, d) = (watchers.clone(), watchers.clone(), watchers.clone(), watchers.clone());
     let (sender, receiver) = (exchange.clone(), exchange.clone());
     vec![
@@ -169,6 +189,7 @@
         tokio::spawn(async move { b.follow_upstreams().await }),
         tokio::spawn(async move { c.register().await }),
         tokio::spawn(async move { d.follow_hosts().await }),
+        tokio::spawn(async move { orders.run().await }),
         tokio::spawn(async move { sender.send_reports().await }),
         tokio::spawn(async move { receiver.receive_reports().await }),
         tokio::spawn(async {
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -170,6 +170,13 @@
         self.peers.values().map(|peer| peer.address).collect()
     }
 
+    /// Returns the first by name of the other hosts that are not silent.
+    pub fn first_heard(&self, now: Instant) -> Option<HostId> {
+        let is_heard = |peer: &Peer| now.saturating_duration_since(peer.heard) < SILENT_AFTER;
+        let heard = self.peers.iter().filter(|(_, peer)| is_heard(peer));
+        heard.map(|(host, _)| host).min().cloned()
+    }
+
     /// Returns the number of all hosts with this one.
     pub fn host_count(&self) -> usize {
         self.peers.len() + 1
--- /dev/null
+++ b/src/process/forwarding/roles.rs
@@ -0,0 +1,66 @@
+//! How many engines prefill and how many decode. Holds no I/O and reads no clock.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::prelude::*;
+use crate::process::forwarding::directory::{Instance, Stage};
+
+/// The settings of the division of engines.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RoleSettings {
+    /// The part of a service's engines that prefills. A prefill engine reads about 10 prompts of 5,000 tokens a second; a
+    /// decode engine has memory for 9 requests, which take 3 to 4 s each. So one feeds nearly four.
+    pub prefill_part: f64,
+    /// The fewest engines of a service whose division is changed.
+    pub least_engines: usize,
+}
+
+impl Default for RoleSettings {
+    fn default() -> Self {
+        Self {
+            prefill_part: 0.22,
+            least_engines: 6,
+        }
+    }
+}
+
+/// An engine whose stage should change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StageChange {
+    /// The engine.
+    pub instance: Arc<Instance>,
+    /// The stage that it should have.
+    pub stage: Stage,
+}
+
+/// Returns the changes that bring the engines of one service to the division wanted.
+pub fn plan(settings: &RoleSettings, takers: &[Arc<Instance>]) -> Vec<StageChange> {
+    let of_stage = |stage| takers.iter().filter(move |taker| taker.stage == stage);
+    let prefill = of_stage(Stage::Prefill).count();
+    let engines = prefill + of_stage(Stage::Decode).count();
+    if engines < settings.least_engines || prefill == 0 {
+        return Vec::new();
+    }
+    // The count is small and not negative.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let wanted = ((engines as f64 * settings.prefill_part).ceil() as usize).max(2);
+    let mut left: Vec<_> = of_stage(Stage::Prefill).cloned().collect();
+    let mut changes = Vec::new();
+    while left.len() > wanted {
+        // Prompts are moved within a data centre where possible, so that each keeps an engine as long as it can.
+        let mut count: HashMap<DataCentreId, usize> = HashMap::new();
+        for instance in &left {
+            *count.entry(instance.data_centre.clone()).or_default() += 1;
+        }
+        let rank = |i: &Arc<Instance>| (count.get(&i.data_centre).copied(), i.id.clone());
+        let Some(most) = (0..left.len()).max_by_key(|i| rank(&left[*i])) else {
+            break;
+        };
+        changes.push(StageChange {
+            instance: left.swap_remove(most),
+            stage: Stage::Decode,
+        });
+    }
+    changes
+}
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -6,6 +6,7 @@
 use crate::process::forwarding::directory::DirectorySettings;
 use crate::process::forwarding::load::LoadSettings;
 use crate::process::forwarding::retry_share::RetryBounds;
+use crate::process::forwarding::roles::RoleSettings;
 use crate::process::forwarding::selection::SelectionSettings;
 use crate::process::forwarding::usage::UsageSettings;
 use crate::request::forward::settings::ForwardSettings;
@@ -19,7 +20,8 @@
     /// The time between two reads of the list of upstreams. A leaving upstream must get no new work after two
     /// seconds, so that one read may be lost.
     pub directory_interval: Duration,
-    /// The time for which a watch waits for a change.
+    /// The time for which a watch waits for a change. Until it ends, a connection that went silent goes unnoticed, unless
+    /// another host hears of a change.
     pub watch_wait: Duration,
     /// The time to wait after a failed call of the store; doubles up to `max_store_backoff`.
     pub store_backoff: Duration,
@@ -47,6 +49,10 @@
     pub directory: DirectorySettings,
     /// The customers' accounts.
     pub usage: UsageSettings,
+    /// The division of engines.
+    pub roles: RoleSettings,
+    /// The least time between the orders of two hosts.
+    pub order_quiet: Duration,
 }
 
 impl Default for ForwardingSettings {
@@ -54,7 +60,7 @@
         Self {
             store_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
             directory_interval: Duration::from_millis(800),
-            watch_wait: Duration::from_secs(20),
+            watch_wait: Duration::from_secs(5),
             store_backoff: Duration::from_millis(200),
             max_store_backoff: Duration::from_millis(1500),
             registration_ttl: Duration::from_secs(10),
@@ -68,6 +74,8 @@
             load: LoadSettings::default(),
             directory: DirectorySettings::default(),
             usage: UsageSettings::default(),
+            roles: RoleSettings::default(),
+            order_quiet: Duration::from_secs(3),
         }
     }
 }
@@ -86,6 +94,15 @@
             watch_wait: fields.duration("watch_wait", defaults.watch_wait),
             registration_ttl: fields.duration("registration_ttl", defaults.registration_ttl),
             grace: fields.duration("grace", defaults.grace),
+            order_quiet: fields.duration("order_quiet", defaults.order_quiet),
+            roles: RoleSettings {
+                prefill_part: fields.value(
+                    "prefill_part",
+                    "a number between 0 and 1",
+                    defaults.roles.prefill_part,
+                ),
+                ..defaults.roles.clone()
+            },
             drain_delay: fields.duration("drain_delay", defaults.drain_delay),
             retries: RetryBounds {
                 ratio: fields.value("retry_ratio", "a number", defaults.retries.ratio),
--- a/src/process/forwarding/usage.rs
+++ b/src/process/forwarding/usage.rs
@@ -17,16 +17,33 @@
     /// The part of a burst that a host grants after its start. All hosts may start at once, each before it hears the
     /// others, so that their parts add up.
     pub initial_level: f64,
+    /// The part of a burst that is kept for small requests: those of at most that size. They don't wait behind large
+    /// ones, of which each costs as much as some dozens of them.
+    pub small_part: f64,
+    /// The part of a burst by which small requests may overdraw an account. Large requests that several hosts grant at the
+    /// same moment overdraw it, too, and take the time to make up for both.
+    pub small_debt: f64,
 }
 
 impl Default for UsageSettings {
     fn default() -> Self {
         Self {
             initial_level: 0.25,
+            small_part: 0.02,
+            small_debt: 0.25,
         }
     }
 }
 
+/// How a request is charged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Charged {
+    /// The tokens were there.
+    Now,
+    /// The tokens will be there after this time.
+    After(Duration),
+}
+
 /// The tokens that a host has granted since its start, less what it took back.
 pub type Granted = i64;
 
@@ -46,6 +63,8 @@
     rate: f64,
     burst: f64,
     level: f64,
+    /// The tokens of requests that wait for them.
+    queued: f64,
     updated: Instant,
     granted: Granted,
     /// When `granted` changed last.
@@ -60,6 +79,7 @@
             rate: customer.rate as f64,
             burst,
             level: burst * initial,
+            queued: 0.0,
             updated: now,
             granted: 0,
             changed: now,
@@ -73,6 +93,12 @@
         self.level = (self.level + elapsed.as_secs_f64() * self.rate).min(self.burst);
     }
 
+    fn grant(&mut self, tokens: Tokens, now: Instant) {
+        self.debit(tokens as f64);
+        self.granted += signed(tokens);
+        self.changed = now;
+    }
+
     fn debit(&mut self, tokens: f64) {
         self.level = (self.level - tokens).min(self.burst);
     }
@@ -115,19 +141,20 @@
         }
     }
 
-    /// Charges a request that may wait up to `longest` for its tokens; returns the time to wait.
+    /// Charges a request, or lets it wait up to `longest` for its tokens. A request that waits is charged by `charge_queued`
+    /// or forgotten by `leave_queue`.
     ///
     /// # Errors
-    /// Returns the time until the tokens will be there, if it is longer; nothing is charged.
+    /// Returns the time until the tokens will be there, if it is longer.
     pub fn charge(
         &self,
         customer: &ForwardCustomer,
         tokens: Tokens,
         longest: Duration,
         now: Instant,
-    ) -> Result<Duration, Duration> {
+    ) -> Result<Charged, Duration> {
         if customer.rate == 0 {
-            return Ok(Duration::ZERO);
+            return Ok(Charged::Now);
         }
         let mut accounts = self.accounts.lock(&customer.id);
         let account = accounts
@@ -136,18 +163,43 @@
         account.rate = customer.rate as f64;
         account.burst = customer.burst as f64;
         account.refill(now);
-        // A request above the whole burst is let through by a full bucket; it could never be served otherwise.
-        let wanted = (tokens as f64).min(account.burst);
-        let wait = ((wanted - account.level) / account.rate).max(0.0);
+        let small = account.burst * self.settings.small_part;
+        let wanted = tokens as f64;
+        let needed = if wanted <= small {
+            wanted - account.burst * self.settings.small_debt
+        } else {
+            // A request above the whole burst is let through by a full bucket; it could never be served otherwise.
+            (wanted + account.queued + small).min(account.burst + account.queued)
+        };
+        let wait = ((needed - account.level) / account.rate).max(0.0);
         let wait = Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX);
+        if wait.is_zero() {
+            account.grant(tokens, now);
+            return Ok(Charged::Now);
+        }
         if wait > longest {
             return Err(wait);
         }
-        // The level of an account from which requests wait is below 0, so that later ones wait behind them.
-        account.debit(tokens as f64);
-        account.granted += signed(tokens);
-        account.changed = now;
-        Ok(wait)
+        account.queued += wanted;
+        Ok(Charged::After(wait))
+    }
+
+    /// Charges a request that has waited for its tokens.
+    pub fn charge_queued(&self, customer: &CustomerId, tokens: Tokens, now: Instant) {
+        let mut accounts = self.accounts.lock(customer);
+        if let Some(account) = accounts.get_mut(customer) {
+            account.queued = (account.queued - tokens as f64).max(0.0);
+            account.refill(now);
+            account.grant(tokens, now);
+        }
+    }
+
+    /// Forgets a request that waited for its tokens and does no more.
+    pub fn leave_queue(&self, customer: &CustomerId, tokens: Tokens) {
+        let mut accounts = self.accounts.lock(customer);
+        if let Some(account) = accounts.get_mut(customer) {
+            account.queued = (account.queued - tokens as f64).max(0.0);
+        }
     }
 
     /// Gives back the tokens of a request that did not run.
--- a/src/process/forwarding/watchers.rs
+++ b/src/process/forwarding/watchers.rs
@@ -14,6 +14,9 @@
 /// The prefix of the keys under which hosts register.
 const HOST_PREFIX: &str = "hosts/";
 
+/// The time for which another host has a newer version before this one reads it instead of waiting for its watch.
+const BEHIND: Duration = Duration::from_millis(250);
+
 /// Follows the store and keeps the host's state up to date.
 pub struct Watchers {
     /// The state.
@@ -90,10 +93,18 @@
             for entry in listed.value.iter().filter(|entry| entry.key == key) {
                 self.put_in_force(entry);
             }
+            if self.state.is_behind() {
+                // The other host's version is not readable here, or has been read in between.
+                tokio::time::sleep(self.settings.max_store_backoff).await;
+            }
             let mut after = listed.revision;
             loop {
-                let watched = self.store.watch_as_of(key, after, self.settings.watch_wait);
-                match watched.await {
+                // A watch whose connection went silent hears nothing; the other hosts' reports show it.
+                let watched = tokio::select! {
+                    watched = self.store.watch_as_of(key, after, self.settings.watch_wait) => watched,
+                    () = self.state.behind(BEHIND) => break,
+                };
+                match watched {
                     Ok(changes) => {
                         backoff.succeeded();
                         for change in &changes.value {
--- a/src/request/forward/call.rs
+++ b/src/request/forward/call.rs
@@ -21,6 +21,12 @@
 }
 
 impl TokenCounts {
+    /// Returns the memory in tokens that a running request takes on average: it grows with each token generated, and most
+    /// requests generate less than they may.
+    pub fn memory(self) -> Tokens {
+        self.prompt.saturating_add(self.output / 2)
+    }
+
     /// Returns the sum, which is charged.
     pub fn total(self) -> Tokens {
         self.prompt.saturating_add(self.output)
--- a/src/request/forward/codec.rs
+++ b/src/request/forward/codec.rs
@@ -1,10 +1,26 @@
 //! The border to the encodings of forwarded requests.
 
-use http::{HeaderMap, HeaderName, HeaderValue, request, response};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, request, response};
+use http_body_util::Full;
 
 use crate::prelude::*;
+use crate::process::forwarding::directory::Stage;
 use crate::request::forward::call::{AnswerHead, AttemptHead, Call, CallHead, Prefilled};
 
+/// An order to an engine to change its stage.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StageOrder {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// The stage wanted.
+    pub stage: Stage,
+    /// The host that orders.
+    pub holder: HostId,
+    /// The fencing number, which grows with each holder.
+    pub fence: Epoch,
+}
+
 /// How callers and upstreams write what a `CallHead`, an `AttemptHead` and an `AnswerHead` say.
 pub trait CallCodec: Send + Sync {
     /// Reads the head of a caller's request.
@@ -31,4 +47,7 @@
 
     /// Returns the header that names the request in an answer.
     fn request_header(&self, id: &str) -> Option<(HeaderName, HeaderValue)>;
+
+    /// Writes an order.
+    fn write_order(&self, order: &StageOrder) -> Request<Full<Bytes>>;
 }
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -1,7 +1,7 @@
 //! The whole path of a forwarded request: admission, charge, quarantine, upstream, answer.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::{BoxFuture, FutureExt, TryFutureExt};
 use http::Response;
@@ -10,6 +10,7 @@
 use crate::process::background::BackgroundTasks;
 use crate::process::forwarding::fleet::FleetState;
 use crate::process::forwarding::selection::Selection;
+use crate::process::forwarding::usage::{Charged, UsageBook};
 use crate::request::forward::call::{Call, CallHead};
 use crate::request::forward::codec::CallCodec;
 use crate::request::forward::generation;
@@ -163,7 +164,7 @@
     let target = call.route.target.unwrap_or(cx.settings.default_target);
     let longest = target.mul_f64(cx.settings.wait_part);
     let charged = cx.state.usage.charge(customer, tokens, longest, cx.clock.now());
-    let wait = charged.map_err(|wait| {
+    let charged = charged.map_err(|wait| {
         let message = "rate of the customer used up; repeat after the time in Retry-After";
         Refusal::not_run(RefusalKind::RateLimited, message)
             .after(wait)
@@ -174,10 +175,40 @@
                 customer.burst
             ))
     })?;
-    cx.state.report_soon();
-    if !wait.is_zero() {
+    if let Charged::After(wait) = charged {
         record.note(format_args!("waits {}ms for the customer's rate", wait.as_millis()));
+        let queued = QueuedCharge {
+            usage: &cx.state.usage,
+            customer: &customer.id,
+            tokens,
+            waits: true,
+        };
         tokio::time::sleep(wait).await;
+        queued.charge(cx.clock.now());
     }
+    cx.state.report_soon();
     Ok(Some((customer.id.clone(), tokens)))
 }
+
+/// A request that waits for its customer's rate. Dropping it leaves the queue.
+struct QueuedCharge<'a> {
+    usage: &'a UsageBook,
+    customer: &'a CustomerId,
+    tokens: Tokens,
+    waits: bool,
+}
+
+impl QueuedCharge<'_> {
+    fn charge(mut self, now: Instant) {
+        self.waits = false;
+        self.usage.charge_queued(self.customer, self.tokens, now);
+    }
+}
+
+impl Drop for QueuedCharge<'_> {
+    fn drop(&mut self) {
+        if self.waits {
+            self.usage.leave_queue(self.customer, self.tokens);
+        }
+    }
+}
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -176,8 +176,9 @@
         self.call.head.tokens.map_or(0, |tokens| tokens.prompt)
     }
 
-    fn total_tokens(&self) -> Tokens {
-        self.call.head.tokens.map_or(0, TokenCounts::total)
+    /// Returns the engine memory that the request is counted with.
+    fn memory_tokens(&self) -> Tokens {
+        self.call.head.tokens.map_or(0, TokenCounts::memory)
     }
 
     fn choose(
@@ -189,7 +190,7 @@
         let need = Need {
             purpose,
             tokens: match purpose {
-                Purpose::Decode => self.total_tokens(),
+                Purpose::Decode => self.memory_tokens(),
                 Purpose::Prefill | Purpose::Call => self.prompt_tokens(),
             },
             near: near.clone(),
@@ -218,7 +219,7 @@
         let waiter = Waiter {
             priority: self.call.priority(),
             on_time_until,
-            tokens: self.total_tokens(),
+            tokens: self.memory_tokens(),
         };
         record.note("waits for room");
         let place = rooms.enter(&self.service, waiter, &cx.clock);
@@ -261,7 +262,7 @@
         }
         let room = self.engine.kv_tokens.saturating_mul(engines as u64);
         let hosts = cx.state.peers().host_count();
-        let tokens = self.total_tokens();
+        let tokens = self.memory_tokens();
         let wait = cx.state.rooms.predicted_wait(&self.service, tokens, room, hosts);
         let now = cx.clock.now();
         let left = self.call.deadline.saturating_duration_since(now);
@@ -280,7 +281,7 @@
         let settings = &self.cx.settings;
         let is_on_time = self.cx.clock.now() < on_time_until;
         let filled = if is_on_time { settings.filled } else { settings.filled_late };
-        let tokens = self.total_tokens();
+        let tokens = self.memory_tokens();
         let limit = self.engine.kv_tokens as f64 * filled;
         let has_room = |candidate: &Candidate| {
             let work = candidate.load.work();
@@ -433,7 +434,7 @@
         let is_new = |candidate: &Candidate| !self.tried.contains(&candidate.instance.id);
         let candidate = self.choose(Purpose::Decode, near, is_new)?;
         record.note(describe(Purpose::Decode, &candidate));
-        Some(Attempt::begin(&self.cx, candidate.instance, self.total_tokens()))
+        Some(Attempt::begin(&self.cx, candidate.instance, self.memory_tokens()))
     }
 
     fn refusal(&self, last: &str) -> Refusal {
