Serve requests that can be on time before late ones over all hosts

Cause: a host with a late request took room that another host's request needed to be on time, and freed waiters all went to the same prefill engines, up to a second of prompts each. Hosts report whether they have waiters that can still be on time; late ones hold back for them. A request starts only while some prefill engine has little ahead. Reports follow a change after 1 ms for each other host. Engines that refuse repeatedly are left out longer.

--- a/src/process/forwarding/exchange.rs
+++ b/src/process/forwarding/exchange.rs
@@ -82,6 +82,7 @@
             leaving,
             granted: self.state.usage.granted_since(since),
             work: self.state.loads.own_work(),
+            has_on_time: self.state.rooms.has_on_time(now),
             crashes: self.state.crash_news(now),
         };
         self.link.send(&to, &report).await;
--- a/src/process/forwarding/line.rs
+++ b/src/process/forwarding/line.rs
@@ -76,6 +76,11 @@
         self.waiters.values().map(|waiter| waiter.tokens).sum()
     }
 
+    /// Tells whether a request waits that can still meet its target.
+    pub fn has_on_time(&self, now: Instant) -> bool {
+        self.waiters.values().any(|waiter| waiter.is_on_time(now))
+    }
+
     /// Returns the number of requests that wait.
     pub fn len(&self) -> usize {
         self.waiters.len()
--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -63,6 +63,7 @@
     /// The calls that have had no answer yet, with the time of sending.
     waiting: SmallVec<[(CallNo, Instant); 8]>,
     failures: u32,
+    refusals: u32,
     blocked_until: Option<Instant>,
     heard: Option<Instant>,
     /// The moving average of the time that one unit of work takes.
@@ -106,9 +107,13 @@
     Left,
 }
 
-/// The time for which an upstream that refused a call as full gets no further one.
+/// The time for which an upstream that refused a call as full gets no further one; doubles with each refusal in a row, because
+/// an engine that changes its stage refuses for seconds.
 const FULL_BLOCK: Duration = Duration::from_millis(150);
 
+/// The longest such time.
+const MAX_FULL_BLOCK: Duration = Duration::from_millis(1500);
+
 /// The load of all upstreams.
 #[derive(Debug, Default)]
 pub struct LoadBook {
@@ -162,6 +167,7 @@
             match end {
                 CallEnd::Answered => {
                     load.failures = 0;
+                    load.refusals = 0;
                     load.blocked_until = None;
                 }
                 CallEnd::Failed => {
@@ -170,7 +176,9 @@
                     load.blocked_until = Some(now + doubled.min(settings.max_block));
                 }
                 CallEnd::Full => {
-                    let until = now + FULL_BLOCK;
+                    let doubled = FULL_BLOCK * 2u32.pow(load.refusals.min(8));
+                    load.refusals += 1;
+                    let until = now + doubled.min(MAX_FULL_BLOCK);
                     load.blocked_until = load.blocked_until.max(Some(until));
                 }
                 CallEnd::Left => {}
@@ -247,6 +255,7 @@
             // What was known of the process before says nothing of the new one; its calls still end.
             load.born = instance.born;
             load.failures = 0;
+            load.refusals = 0;
             load.blocked_until = None;
             load.pace = None;
         }
--- a/src/process/forwarding/order_giver.rs
+++ b/src/process/forwarding/order_giver.rs
@@ -34,7 +34,7 @@
 const SETTLE: Duration = Duration::from_secs(15);
 
 /// The orders given in one turn, so that engines in change are few.
-const ORDERS_PER_TURN: usize = 2;
+const ORDERS_PER_TURN: usize = 4;
 
 #[derive(Serialize)]
 struct Holder<'a> {
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -33,6 +33,8 @@
     pub granted: Vec<(CustomerId, Granted)>,
     /// The work that it has given to upstreams.
     pub work: Vec<(UpstreamId, Work)>,
+    /// Whether a request waits there for room that can still meet its target.
+    pub has_on_time: bool,
     /// The requests that broke off with their upstream lately.
     pub crashes: Vec<CrashReport>,
 }
@@ -60,6 +62,7 @@
     /// The time up to which its silence is charged.
     charged: Instant,
     registered: bool,
+    has_on_time: bool,
 }
 
 /// What a report means for this host.
@@ -107,6 +110,7 @@
                 heard: now,
                 charged: now,
                 registered,
+                has_on_time: report.has_on_time,
             },
         );
         ReportOrder::Newest
@@ -130,6 +134,7 @@
                         heard: now,
                         charged: now,
                         registered: true,
+                        has_on_time: false,
                     };
                     self.peers.insert(host.host.clone(), peer);
                 }
@@ -170,6 +175,12 @@
         self.peers.values().map(|peer| peer.address).collect()
     }
 
+    /// Tells whether a request waits for room at another host that can still meet its target.
+    pub fn have_on_time(&self, now: Instant) -> bool {
+        let is_heard = |peer: &Peer| now.saturating_duration_since(peer.heard) < SILENT_AFTER;
+        self.peers.values().any(|peer| peer.has_on_time && is_heard(peer))
+    }
+
     /// Returns the first by name of the other hosts that are not silent.
     pub fn first_heard(&self, now: Instant) -> Option<HostId> {
         let is_heard = |peer: &Peer| now.saturating_duration_since(peer.heard) < SILENT_AFTER;
--- a/src/process/forwarding/rooms.rs
+++ b/src/process/forwarding/rooms.rs
@@ -94,6 +94,12 @@
         services.entry(service.clone()).or_default().line.held(time);
     }
 
+    /// Tells whether a request waits that can still meet its target.
+    pub fn has_on_time(&self, now: Instant) -> bool {
+        let mut shards = self.services.iter();
+        shards.any(|services| services.values().any(|waiting| waiting.line.has_on_time(now)))
+    }
+
     /// Returns the number of requests that wait in each line, for the dump.
     pub fn lengths(&self) -> Vec<(ModelId, usize)> {
         let mut lengths = Vec::new();
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -64,7 +64,7 @@
             store_backoff: Duration::from_millis(200),
             max_store_backoff: Duration::from_millis(1500),
             registration_ttl: Duration::from_secs(10),
-            report_delay_per_host: Duration::from_millis(4),
+            report_delay_per_host: Duration::from_millis(1),
             report_interval: Duration::from_millis(500),
             grace: Duration::from_secs(8),
             drain_delay: Duration::from_millis(2500),
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -276,11 +276,29 @@
         Ok(now + longest)
     }
 
+    /// Tells whether the least busy prefill engine has prompts ahead for longer than `prefill_backlog`.
+    fn is_prefill_busy(&self) -> bool {
+        let near = &self.cx.data_centre;
+        let usable = |candidate: &Candidate| !candidate.load.is_blocked;
+        let least = self.choose(Purpose::Prefill, near, usable);
+        least.is_some_and(|candidate| {
+            let ahead = candidate.load.work().tokens as f64;
+            let pace = candidate.load.pace.unwrap_or(0.0);
+            ahead * pace > self.cx.settings.prefill_backlog.as_secs_f64()
+        })
+    }
+
     /// Reserves room at the best decode engine that has it.
     fn reserve(&mut self, on_time_until: Instant, record: &mut ForwardRecord) -> Option<Attempt> {
         let settings = &self.cx.settings;
         let is_on_time = self.cx.clock.now() < on_time_until;
         let filled = if is_on_time { settings.filled } else { settings.filled_late };
+        if !is_on_time && self.cx.state.peers().have_on_time(self.cx.clock.now()) {
+            return None;
+        }
+        if self.is_prefill_busy() {
+            return None;
+        }
         let tokens = self.memory_tokens();
         let limit = self.engine.kv_tokens as f64 * filled;
         let has_room = |candidate: &Candidate| {
--- a/src/request/forward/settings.rs
+++ b/src/request/forward/settings.rs
@@ -34,6 +34,9 @@
     pub filled: f64,
     /// The part that other requests may fill, which leaves room for those.
     pub filled_late: f64,
+    /// The predicted time of a prefill from which requests wait for room instead: the prompts ahead of them are enough to
+    /// keep the prefill engines busy.
+    pub prefill_backlog: Duration,
     /// What is told to callers that are refused for want of an upstream.
     pub retry_after: Duration,
     /// The time since an upstream was heard within which a call that must run once is sent on a kept connection. An older
@@ -62,6 +65,7 @@
             late_wait_part: 0.55,
             filled: 1.0,
             filled_late: 0.85,
+            prefill_backlog: Duration::from_millis(350),
             retry_after: Duration::from_millis(500),
             fresh_once: Duration::from_secs(1),
             fresh_stream: Duration::from_millis(400),
