--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -113,6 +113,8 @@
             clock: clock.clone(),
             settings: forwarding.roles.clone(),
             quiet: forwarding.order_quiet + ORDER_QUIET_MARGIN,
+            is_first_start: forwarding.first_start,
+            started: exchange.started,
         };
         let cx = Arc::new(ForwardServices {
             data_centre: settings.data_centre.clone(),
--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -103,6 +103,8 @@
     Failed,
     /// It refused the call because it is full.
     Full,
+    /// It refused the call because it runs another stage than it registered.
+    OtherStage,
     /// The call ended for a reason that says nothing of the upstream.
     Left,
 }
@@ -114,6 +116,10 @@
 /// The longest such time.
 const MAX_FULL_BLOCK: Duration = Duration::from_millis(1500);
 
+/// The time for which an engine that runs another stage than it registered gets no call; it registers the new one within its
+/// heartbeat, and the list is read about once a second.
+const OTHER_STAGE_BLOCK: Duration = Duration::from_secs(3);
+
 /// The load of all upstreams.
 #[derive(Debug, Default)]
 pub struct LoadBook {
@@ -181,6 +187,7 @@
                     let until = now + doubled.min(MAX_FULL_BLOCK);
                     load.blocked_until = load.blocked_until.max(Some(until));
                 }
+                CallEnd::OtherStage => load.blocked_until = Some(now + OTHER_STAGE_BLOCK),
                 CallEnd::Left => {}
             }
         });
--- a/src/process/forwarding/order_giver.rs
+++ b/src/process/forwarding/order_giver.rs
@@ -36,6 +36,10 @@
 /// The orders given in one turn, so that engines in change are few.
 const ORDERS_PER_TURN: usize = 4;
 
+/// The time after the first start of the fleet within which the first holder needs not wait for one before it. A second
+/// holder can't have its turn yet, because the lease of the first is longer.
+const FIRST_TURN: Duration = Duration::from_secs(8);
+
 #[derive(Serialize)]
 struct Holder<'a> {
     host: &'a str,
@@ -48,6 +52,8 @@
     pub host: HostId,
     /// Its process start.
     pub incarnation: Incarnation,
+    /// When it started.
+    pub started: Instant,
     /// What it knows.
     pub state: Arc<FleetState>,
     /// The store.
@@ -62,6 +68,8 @@
     pub settings: RoleSettings,
     /// The time that a new holder waits, so that turns of two holders are this far apart.
     pub quiet: Duration,
+    /// Whether no host has given orders yet.
+    pub is_first_start: bool,
 }
 
 /// The right to give orders.
@@ -114,7 +122,10 @@
         };
         let value = serde_json::to_vec(&holder).unwrap_or_default();
         let fence = self.store.swap(HOLDER_KEY, Expected::Absent, value, Some(lease)).await?;
-        tokio::time::sleep(self.quiet).await;
+        let started = self.clock.now().saturating_duration_since(self.started);
+        if !(self.is_first_start && started < FIRST_TURN) {
+            tokio::time::sleep(self.quiet).await;
+        }
         Ok(Turn {
             fence,
             until: asked + HOLDER_TTL - LEASE_MARGIN,
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -51,6 +51,8 @@
     pub usage: UsageSettings,
     /// The division of engines.
     pub roles: RoleSettings,
+    /// Whether the whole fleet starts for the first time, so that no host can have given orders before.
+    pub first_start: bool,
     /// The least time between the orders of two hosts.
     pub order_quiet: Duration,
 }
@@ -75,6 +77,7 @@
             directory: DirectorySettings::default(),
             usage: UsageSettings::default(),
             roles: RoleSettings::default(),
+            first_start: false,
             order_quiet: Duration::from_secs(3),
         }
     }
@@ -94,6 +97,7 @@
             watch_wait: fields.duration("watch_wait", defaults.watch_wait),
             registration_ttl: fields.duration("registration_ttl", defaults.registration_ttl),
             grace: fields.duration("grace", defaults.grace),
+            first_start: fields.value("first_start", "true or false", defaults.first_start),
             order_quiet: fields.duration("order_quiet", defaults.order_quiet),
             roles: RoleSettings {
                 prefill_part: fields.value(
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::Response;
+use http::{Response, StatusCode};
 use http::header::CONTENT_LENGTH;
 use http_body_util::Full;
 
@@ -24,6 +24,8 @@
     Rejected {
         /// What it answered.
         cause: String,
+        /// What that says of the upstream.
+        end: CallEnd,
     },
     /// The call did not get through, or its answer did not.
     Sending(SendFailure),
@@ -53,7 +55,7 @@
 impl fmt::Display for AttemptFailure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Rejected { cause } => write!(f, "upstream refused the call ({cause})"),
+            Self::Rejected { cause, .. } => write!(f, "upstream refused the call ({cause})"),
             Self::Sending(failure) => failure.fmt(f),
         }
     }
@@ -118,7 +120,7 @@
         let now = self.cx.clock.now();
         match &result {
             Ok(_) => self.cx.state.loads.answered(&self.instance, self.no, now),
-            Err(AttemptFailure::Rejected { .. }) => self.finish(CallEnd::Full),
+            Err(AttemptFailure::Rejected { end, .. }) => self.finish(*end),
             Err(AttemptFailure::Sending(failure)) => {
                 // Other kept connections to a silent or restarted upstream are no better.
                 self.cx.link.close_idle(self.instance.address);
@@ -165,8 +167,13 @@
                 log::info!(target: "upstream", "{} is gone: {other} has its address", self.instance.id);
                 cx.state.remove_upstream(&self.instance);
             }
+            let end = if status == StatusCode::MISDIRECTED_REQUEST {
+                CallEnd::OtherStage
+            } else {
+                CallEnd::Full
+            };
             let cause = format!("status {status}");
-            return Err(AttemptFailure::Rejected { cause });
+            return Err(AttemptFailure::Rejected { cause, end });
         }
         match &answer.id {
             Some(id) if **id == *call.head.id => {}
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -82,8 +82,10 @@
     service: ModelId,
     engine: EngineLimits,
     tried: SmallVec<[UpstreamId; 4]>,
-    /// The decode calls that reached an engine.
+    /// The calls that reached an engine and count for the retry budget: all but the first prefill that was accepted.
     arrived: u32,
+    /// The retries taken from the budget.
+    retries: u32,
     /// The decode calls that may have run.
     runs: u32,
 }
@@ -106,6 +108,7 @@
         engine,
         tried: SmallVec::new(),
         arrived: 0,
+        retries: 0,
         runs: 0,
     };
     let mut room = Some(generation.wait_for_room(record).await?);
@@ -313,7 +316,18 @@
         Some(Attempt::begin(&self.cx, candidate.instance, tokens))
     }
 
-    fn take_retry(&self, cause: &'static str) -> bool {
+    /// Takes as many retries as one more call needs; tells whether the budget has them.
+    fn take_retry(&mut self, cause: &'static str) -> bool {
+        while self.retries < self.arrived {
+            if !self.take_one_retry(cause) {
+                return false;
+            }
+            self.retries += 1;
+        }
+        true
+    }
+
+    fn take_one_retry(&self, cause: &'static str) -> bool {
         let state = &self.cx.state;
         let hosts = state.peers().host_count();
         let taken = state.retries.take(&self.service, hosts, self.cx.clock.now());
@@ -326,11 +340,10 @@
     /// Has the prompt prefilled. `None` if no engine did; a decode engine can run the prompt itself.
     async fn prefill(&mut self, near: &DataCentreId, record: &mut ForwardRecord) -> Option<Ready> {
         let mut tried: SmallVec<[UpstreamId; 4]> = SmallVec::new();
-        let mut arrived = false;
         for _ in 0..MAX_PREFILLS {
             let is_new = |candidate: &Candidate| !tried.contains(&candidate.instance.id);
             let candidate = self.choose(Purpose::Prefill, near, is_new)?;
-            if candidate.load.is_blocked || (arrived && !self.take_retry("prefill")) {
+            if candidate.load.is_blocked || !self.take_retry("prefill") {
                 break;
             }
             record.note(describe(Purpose::Prefill, &candidate));
@@ -343,7 +356,7 @@
                 }
                 Err(failure) => {
                     record.note(&failure);
-                    arrived |= failure.has_arrived();
+                    self.arrived += u32::from(failure.has_arrived());
                 }
             }
         }
@@ -417,7 +430,7 @@
             None => self.next_engine(ready.as_deref(), record),
         };
         let mut attempt = room.ok_or(DecodeFailure::NoEngine)?;
-        if self.arrived > 0 && !self.take_retry("decode") {
+        if !self.take_retry("decode") {
             record.note("no retry left");
             return Err(DecodeFailure::NoEngine);
         }
