Report waiters at once, give orders until the division holds, name what a request waits for

Cause: at the first start one engine of three was ordered while the list of engines was still short, the other two 18 s later; and a host's waiters became known to others up to 0.5 s late.

--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -75,6 +75,11 @@
     ) -> std::io::Result<Self> {
         metrics::recorder();
         let clock = outside.clock;
+        let mut forwarding = forwarding;
+        if forwarding.first_start {
+            // No host can have granted anything before.
+            forwarding.usage.initial_level = 1.0;
+        }
         let state = Arc::new(FleetState::new(&forwarding));
         let reports = ReportSocket::bind(settings.peer.address).await?;
         let registration = Registration {
--- a/src/process/forwarding/order_giver.rs
+++ b/src/process/forwarding/order_giver.rs
@@ -33,8 +33,8 @@
 /// The time for which an engine gets no second order: a change of its stage takes some seconds and shows later.
 const SETTLE: Duration = Duration::from_secs(15);
 
-/// The orders given in one turn, so that engines in change are few.
-const ORDERS_PER_TURN: usize = 4;
+/// The orders given in one round, so that few engines change at once.
+const ORDERS_PER_ROUND: usize = 4;
 
 /// The time after the first start of the fleet within which the first holder needs not wait for one before it. A second
 /// holder can't have its turn yet, because the lease of the first is longer.
@@ -83,15 +83,23 @@
     /// Gives the orders that are due, for good.
     pub async fn run(&self) {
         let mut ordered: HashMap<UpstreamId, Instant> = HashMap::new();
+        let mut turn: Option<Turn> = None;
         loop {
             tokio::time::sleep(ROUND).await;
             let now = self.clock.now();
             ordered.retain(|_, at| now.saturating_duration_since(*at) < SETTLE);
-            if !self.is_first() || self.due(&ordered).is_empty() || !ordered.is_empty() {
+            if !self.is_first() || self.due(&ordered).is_empty() {
+                continue;
+            }
+            if let Some(turn) = turn.as_ref().filter(|turn| now + ORDER_TIMEOUT <= turn.until) {
+                self.give(turn, &mut ordered).await;
                 continue;
             }
             match self.take_turn().await {
-                Ok(turn) => self.give(&turn, &mut ordered).await,
+                Ok(taken) => {
+                    self.give(&taken, &mut ordered).await;
+                    turn = Some(taken);
+                }
                 Err(StoreError::Conflict { .. }) => tokio::time::sleep(HOLDER_TTL).await,
                 Err(e) => {
                     log::info!(target: "orders", "no turn to give orders: {e}");
@@ -106,11 +114,14 @@
         self.state.peers().first_heard(self.clock.now()).is_none_or(|first| self.host < first)
     }
 
+    /// Returns the changes that are due. Engines that were ordered lately count as changed.
     fn due(&self, ordered: &HashMap<UpstreamId, Instant>) -> Vec<StageChange> {
         let table = self.state.tables.current();
         let engines = table.services.values().filter(|service| service.engine.is_some());
-        let changes = engines.flat_map(|service| plan(&self.settings, &self.state.takers(&service.id)));
-        changes.filter(|change| !ordered.contains_key(&change.instance.id)).collect()
+        let is_ordered = |id: &UpstreamId| ordered.contains_key(id);
+        let changes =
+            engines.flat_map(|service| plan(&self.settings, &self.state.takers(&service.id), is_ordered));
+        changes.collect()
     }
 
     async fn take_turn(&self) -> Result<Turn, StoreError> {
@@ -133,7 +144,7 @@
     }
 
     async fn give(&self, turn: &Turn, ordered: &mut HashMap<UpstreamId, Instant>) {
-        for change in self.due(ordered).into_iter().take(ORDERS_PER_TURN) {
+        for change in self.due(ordered).into_iter().take(ORDERS_PER_ROUND) {
             let now = self.clock.now();
             if now + ORDER_TIMEOUT > turn.until {
                 return;
--- a/src/process/forwarding/roles.rs
+++ b/src/process/forwarding/roles.rs
@@ -34,18 +34,22 @@
     pub stage: Stage,
 }
 
-/// Returns the changes that bring the engines of one service to the division wanted.
-pub fn plan(settings: &RoleSettings, takers: &[Arc<Instance>]) -> Vec<StageChange> {
-    let of_stage = |stage| takers.iter().filter(move |taker| taker.stage == stage);
-    let prefill = of_stage(Stage::Prefill).count();
-    let engines = prefill + of_stage(Stage::Decode).count();
-    if engines < settings.least_engines || prefill == 0 {
+/// Returns the changes that bring the engines of one service to the division wanted. Those for which `is_changing` holds are
+/// about to leave the stage that they registered.
+pub fn plan(
+    settings: &RoleSettings,
+    takers: &[Arc<Instance>],
+    is_changing: impl Fn(&UpstreamId) -> bool,
+) -> Vec<StageChange> {
+    let mut left: Vec<_> = takers.iter().filter(|taker| taker.stage == Stage::Prefill).collect();
+    left.retain(|taker| !is_changing(&taker.id));
+    let engines = takers.iter().filter(|taker| taker.stage != Stage::Whole).count();
+    if engines < settings.least_engines {
         return Vec::new();
     }
     // The count is small and not negative.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let wanted = ((engines as f64 * settings.prefill_part).ceil() as usize).max(2);
-    let mut left: Vec<_> = of_stage(Stage::Prefill).cloned().collect();
     let mut changes = Vec::new();
     while left.len() > wanted {
         // Prompts are moved within a data centre where possible, so that each keeps an engine as long as it can.
@@ -54,11 +58,11 @@
             *count.entry(instance.data_centre.clone()).or_default() += 1;
         }
         let rank = |i: &Arc<Instance>| (count.get(&i.data_centre).copied(), i.id.clone());
-        let Some(most) = (0..left.len()).max_by_key(|i| rank(&left[*i])) else {
+        let Some(most) = (0..left.len()).max_by_key(|i| rank(left[*i])) else {
             break;
         };
         changes.push(StageChange {
-            instance: left.swap_remove(most),
+            instance: left.swap_remove(most).clone(),
             stage: Stage::Decode,
         });
     }
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -31,6 +31,30 @@
 /// The time for the call that frees a prefilled prompt; it lapses by itself about as soon.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Why a request has no room yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NoRoom {
+    /// Other requests are before it.
+    Behind,
+    /// It is late, and another host has requests that can be on time.
+    Yields,
+    /// The prefill engines have enough to do.
+    PrefillBusy,
+    /// No decode engine has memory or a slot.
+    EnginesFull,
+}
+
+impl NoRoom {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Behind => "others before it",
+            Self::Yields => "late, others can be on time",
+            Self::PrefillBusy => "prefill engines busy",
+            Self::EnginesFull => "decode engines full",
+        }
+    }
+}
+
 /// A prefilled prompt. Dropping it frees it at its engine, unless a decode engine took it.
 struct Ready {
     cx: Arc<ForwardServices>,
@@ -213,10 +237,12 @@
         let cx = self.cx.clone();
         let rooms = &cx.state.rooms;
         let on_time_until = self.on_time_until();
-        if rooms.is_empty(&self.service)
-            && let Some(room) = self.reserve(on_time_until, record)
-        {
-            return Ok(room);
+        let mut cause = NoRoom::Behind;
+        if rooms.is_empty(&self.service) {
+            match self.reserve(on_time_until, record) {
+                Ok(room) => return Ok(room),
+                Err(no_room) => cause = no_room,
+            }
         }
         let give_up = self.give_up_at()?;
         let waiter = Waiter {
@@ -224,22 +250,33 @@
             on_time_until,
             tokens: self.memory_tokens(),
         };
-        record.note("waits for room");
+        record.note(format_args!("waits for room: {}", cause.name()));
         let place = rooms.enter(&self.service, waiter, &cx.clock);
+        cx.state.report_soon();
         loop {
-            if place.is_head()
-                && let Some(room) = self.reserve(on_time_until, record)
-            {
-                return Ok(room);
+            if place.is_head() {
+                match self.reserve(on_time_until, record) {
+                    Ok(room) => {
+                        cx.state.report_soon();
+                        return Ok(room);
+                    }
+                    Err(no_room) if no_room != cause => {
+                        cause = no_room;
+                        record.note(cause.name());
+                    }
+                    Err(_) => {}
+                }
             }
             let now = cx.clock.now();
             if now >= give_up {
-                return Err(self.refusal("no engine had room"));
+                let last = format!("no engine had room: {}", cause.name());
+                return Err(self.refusal(&last));
             }
             let is_on_time = now < on_time_until;
             place.wait(if is_on_time { on_time_until.min(give_up) } else { give_up }).await;
             if is_on_time && cx.clock.now() >= on_time_until {
                 place.pass_on();
+                cx.state.report_soon();
             }
         }
     }
@@ -292,15 +329,19 @@
     }
 
     /// Reserves room at the best decode engine that has it.
-    fn reserve(&mut self, on_time_until: Instant, record: &mut ForwardRecord) -> Option<Attempt> {
+    fn reserve(
+        &mut self,
+        on_time_until: Instant,
+        record: &mut ForwardRecord,
+    ) -> Result<Attempt, NoRoom> {
         let settings = &self.cx.settings;
         let is_on_time = self.cx.clock.now() < on_time_until;
         let filled = if is_on_time { settings.filled } else { settings.filled_late };
         if !is_on_time && self.cx.state.peers().have_on_time(self.cx.clock.now()) {
-            return None;
+            return Err(NoRoom::Yields);
         }
         if self.is_prefill_busy() {
-            return None;
+            return Err(NoRoom::PrefillBusy);
         }
         let tokens = self.memory_tokens();
         let limit = self.engine.kv_tokens as f64 * filled;
@@ -311,9 +352,10 @@
                 && !candidate.load.is_blocked
                 && !self.tried.contains(&candidate.instance.id)
         };
-        let candidate = self.choose(Purpose::Decode, &self.cx.data_centre, has_room)?;
+        let candidate = self.choose(Purpose::Decode, &self.cx.data_centre, has_room);
+        let candidate = candidate.ok_or(NoRoom::EnginesFull)?;
         record.note(describe(Purpose::Decode, &candidate));
-        Some(Attempt::begin(&self.cx, candidate.instance, tokens))
+        Ok(Attempt::begin(&self.cx, candidate.instance, tokens))
     }
 
     /// Takes as many retries as one more call needs; tells whether the budget has them.
