Give up waiting for room before the caller does; fill engines further

Cause: callers leave a stream without an event after 3.6 s here, so that requests waited in vain up to 7 s; and engines were never above 41,000 of 54,000 tokens, because late requests could fill 0.85 of an engine.

--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -292,6 +292,15 @@
         self.call.arrived + target.mul_f64(settings.wait_part).saturating_sub(waited)
     }
 
+    /// Returns the time for which the caller waits for the first event.
+    fn event_patience(&self) -> Duration {
+        let settings = &self.cx.settings;
+        let route = &self.call.route;
+        let target = route.target.unwrap_or_default() * settings.event_patience_targets;
+        let gap = route.gap_target.unwrap_or_default() * settings.event_patience_gaps;
+        settings.event_patience.max(target).max(gap)
+    }
+
     /// Returns the time until which the request may wait for room.
     fn give_up_at(&self) -> Result<Instant, Refusal> {
         let cx = &self.cx;
@@ -306,11 +315,13 @@
         let wait = cx.state.rooms.predicted_wait(&self.service, tokens, room, hosts);
         let now = cx.clock.now();
         let left = self.call.deadline.saturating_duration_since(now);
+        let waited = now.saturating_duration_since(self.call.arrived);
+        let left = left.min(self.event_patience().saturating_sub(waited));
         let longest = left.mul_f64(cx.settings.late_wait_part);
         if wait > longest {
             let message = "engines are busy for longer than the request may wait; repeat after the time in Retry-After";
             return Err(Refusal::not_run(RefusalKind::Overloaded, message)
-                .after(wait.min(left / 3))
+                .after(wait)
                 .with_figures(format!("predicted_wait={}ms longest={}ms", wait.as_millis(), longest.as_millis())));
         }
         Ok(now + longest)
--- a/src/request/forward/settings.rs
+++ b/src/request/forward/settings.rs
@@ -28,8 +28,15 @@
     pub wait_part: f64,
     /// The target of a route that states none.
     pub default_target: Duration,
-    /// The part of the time until its deadline for which a stream may wait for room, late as it is.
+    /// The part of the time until its deadline, and of the time that its caller waits for the first event, for which a stream
+    /// may wait for room, late as it is.
     pub late_wait_part: f64,
+    /// The least time for which callers wait for the next event of a stream.
+    pub event_patience: Duration,
+    /// The same as a multiple of the target for the first event.
+    pub event_patience_targets: u32,
+    /// The same as a multiple of the longest pause that is on time.
+    pub event_patience_gaps: u32,
     /// The part of an engine's memory that requests may fill which can still meet their target.
     pub filled: f64,
     /// The part that other requests may fill, which leaves room for those.
@@ -62,9 +69,12 @@
             handle_part: 0.8,
             wait_part: 0.6,
             default_target: Duration::from_secs(1),
-            late_wait_part: 0.55,
-            filled: 1.0,
-            filled_late: 0.85,
+            late_wait_part: 0.75,
+            event_patience: Duration::from_secs(2),
+            event_patience_targets: 4,
+            event_patience_gaps: 8,
+            filled: 1.05,
+            filled_late: 0.97,
             prefill_backlog: Duration::from_millis(350),
             retry_after: Duration::from_millis(500),
             fresh_once: Duration::from_secs(1),
--- a/src/version/forwarding.rs
+++ b/src/version/forwarding.rs
@@ -60,6 +60,8 @@
     pub timeout: Option<Duration>,
     /// The time within which an answer, or the first event of a stream, is on time.
     pub target: Option<Duration>,
+    /// The longest pause between two events of a stream that is on time.
+    pub gap_target: Option<Duration>,
     /// The upstreams to which one request may be sent at most.
     pub max_attempts: u32,
     /// The urgency; 0 is the most urgent.
