--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -18,12 +18,21 @@
     pub calls: u32,
     /// Their tokens.
     pub tokens: Tokens,
+    /// The prompt tokens that a decode engine still has to prefill by itself.
+    pub prompts: Tokens,
 }
 
 impl Work {
     fn add(&mut self, other: Self) {
         self.calls += other.calls;
         self.tokens += other.tokens;
+        self.prompts += other.prompts;
+    }
+
+    fn remove(&mut self, other: Self) {
+        self.calls = self.calls.saturating_sub(other.calls);
+        self.tokens = self.tokens.saturating_sub(other.tokens);
+        self.prompts = self.prompts.saturating_sub(other.prompts);
     }
 }
 
@@ -137,8 +146,17 @@
     }
 
     /// Reserves room for a call.
-    pub fn begin(&self, instance: &Instance, tokens: Tokens) {
-        self.with(instance, |load| load.own.add(Work { calls: 1, tokens }));
+    pub fn begin(&self, instance: &Instance, work: Work) {
+        self.with(instance, |load| load.own.add(work));
+    }
+
+    /// Takes note that a decode engine has prefilled a prompt by itself.
+    pub fn prefilled(&self, instance: &Instance, prompts: Tokens) {
+        let work = Work {
+            prompts,
+            ..Work::default()
+        };
+        self.with(instance, |load| load.own.remove(work));
     }
 
     /// Takes note that a call is sent.
@@ -164,11 +182,10 @@
     }
 
     /// Ends a call.
-    pub fn end(&self, instance: &Instance, call: CallNo, tokens: Tokens, end: CallEnd, now: Instant) {
+    pub fn end(&self, instance: &Instance, call: CallNo, work: Work, end: CallEnd, now: Instant) {
         let settings = &self.settings;
         self.with(instance, |load| {
-            load.own.calls = load.own.calls.saturating_sub(1);
-            load.own.tokens = load.own.tokens.saturating_sub(tokens);
+            load.own.remove(work);
             load.waiting.retain(|(waiting, _)| *waiting != call);
             match end {
                 CallEnd::Answered => {
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -10,7 +10,7 @@
 
 use crate::prelude::*;
 use crate::process::forwarding::directory::{Instance, Stage};
-use crate::process::forwarding::load::{CallEnd, CallNo};
+use crate::process::forwarding::load::{CallEnd, CallNo, Work};
 use crate::process::forwarding::selection::{Candidate, Need, Purpose};
 use crate::process::message::CrashReport;
 use crate::request::forward::call::{AttemptHead, Call, Part};
@@ -80,18 +80,33 @@
     /// The upstream.
     pub instance: Arc<Instance>,
     no: CallNo,
-    tokens: Tokens,
+    work: Work,
     /// When it was sent, or began if it was not sent yet.
     pub sent: Instant,
     ended: bool,
 }
 
 impl Attempt {
-    /// Takes a place at an upstream.
+    /// Takes a place at an upstream for a call of `tokens`.
     pub fn begin(cx: &Arc<ForwardServices>, instance: Arc<Instance>, tokens: Tokens) -> Self {
+        Self::begin_with_prompt(cx, instance, tokens, 0)
+    }
+
+    /// Takes a place at a decode engine that prefills a prompt of `prompts` tokens by itself.
+    pub fn begin_with_prompt(
+        cx: &Arc<ForwardServices>,
+        instance: Arc<Instance>,
+        tokens: Tokens,
+        prompts: Tokens,
+    ) -> Self {
+        let work = Work {
+            calls: 1,
+            tokens,
+            prompts,
+        };
         let no = rand::random();
         let now = cx.clock.now();
-        cx.state.loads.begin(&instance, tokens);
+        cx.state.loads.begin(&instance, work);
         if tokens > 0 {
             cx.state.report_soon();
         }
@@ -99,12 +114,17 @@
             cx: cx.clone(),
             instance,
             no,
-            tokens,
+            work,
             sent: now,
             ended: false,
         }
     }
 
+    /// Tells whether the engine is to prefill the prompt by itself.
+    pub fn prefills(&self) -> bool {
+        self.work.prompts > 0
+    }
+
     /// Sends the call and waits for the head of its answer.
     ///
     /// # Errors
@@ -201,6 +221,16 @@
         self.cx.state.loads.measured(&self.instance, units, took);
     }
 
+    /// Takes note of the first event, before which the engine has prefilled what it had to.
+    pub fn first_event(&mut self) {
+        let prompts = std::mem::take(&mut self.work.prompts);
+        if prompts > 0 {
+            self.cx.state.loads.prefilled(&self.instance, prompts);
+            self.cx.state.report_soon();
+            self.cx.state.rooms.changed(self.cx.clock.now());
+        }
+    }
+
     /// Has other hosts know that the request broke off with its upstream.
     pub fn report_crash(&self, call: &Call) {
         let hash = blake3::hash(call.head.id.as_bytes());
@@ -228,8 +258,8 @@
         }
         let now = self.cx.clock.now();
         let loads = &self.cx.state.loads;
-        loads.end(&self.instance, self.no, self.tokens, end, now);
-        if self.tokens > 0 {
+        loads.end(&self.instance, self.no, self.work, end, now);
+        if self.work.tokens > 0 {
             self.cx.state.report_soon();
             self.cx.state.rooms.changed(now);
         }
@@ -281,10 +311,11 @@
     let work = candidate.load.work();
     let blocked = if candidate.load.is_blocked { " blocked" } else { "" };
     format!(
-        "{purpose} at {} calls={} tokens={} unanswered={}ms{blocked}",
+        "{purpose} at {} calls={} tokens={} prompts={} unanswered={}ms{blocked}",
         candidate.instance.id,
         work.calls,
         work.tokens,
+        work.prompts,
         candidate.load.unanswered.as_millis()
     )
 }
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -135,9 +135,13 @@
         retries: 0,
         runs: 0,
     };
-    let mut room = Some(generation.wait_for_room(record).await?);
-    let near = room.as_ref().map(|room| room.instance.data_centre.clone());
-    let mut ready = generation.prefill(&near.unwrap_or_default(), record).await;
+    let room = generation.wait_for_room(record).await?;
+    let mut ready = if room.prefills() {
+        None
+    } else {
+        generation.prefill(&room.instance.data_centre, record).await
+    };
+    let mut room = Some(room);
     let mut last = "no engine takes new work".to_owned();
     for _ in 0..cx.settings.max_tries {
         if !generation.may_try() {
@@ -351,7 +355,9 @@
         if !is_on_time && self.cx.state.peers().have_on_time(self.cx.clock.now()) {
             return Err(NoRoom::Yields);
         }
-        if self.is_prefill_busy() {
+        let prompt = self.prompt_tokens();
+        let by_itself = self.is_prefill_busy();
+        if by_itself && !(is_on_time && prompt <= settings.decode_prefill_tokens) {
             return Err(NoRoom::PrefillBusy);
         }
         let tokens = self.memory_tokens();
@@ -359,14 +365,22 @@
         let has_room = |candidate: &Candidate| {
             let work = candidate.load.work();
             let fits = (work.tokens + tokens) as f64 <= limit || work.calls == 0;
-            fits && work.calls < candidate.instance.slots
+            // Two prompts at once would make a pause in the other streams that is late.
+            let reads = by_itself && work.prompts > 0;
+            fits && !reads
+                && work.calls < candidate.instance.slots
                 && !candidate.load.is_blocked
                 && !self.tried.contains(&candidate.instance.id)
         };
         let candidate = self.choose(Purpose::Decode, &self.cx.data_centre, has_room);
-        let candidate = candidate.ok_or(NoRoom::EnginesFull)?;
+        let candidate = candidate.ok_or(if by_itself {
+            NoRoom::PrefillBusy
+        } else {
+            NoRoom::EnginesFull
+        })?;
         record.note(describe(Purpose::Decode, &candidate));
-        Ok(Attempt::begin(&self.cx, candidate.instance, tokens))
+        let prompts = if by_itself { prompt } else { 0 };
+        Ok(Attempt::begin_with_prompt(&self.cx, candidate.instance, tokens, prompts))
     }
 
     /// Takes as many retries as one more call needs; tells whether the budget has them.
--- a/src/request/forward/settings.rs
+++ b/src/request/forward/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::prelude::*;
+
 /// The settings of the path of a forwarded request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ForwardSettings {
@@ -44,6 +46,9 @@
     /// The predicted time of a prefill from which requests wait for room instead: the prompts ahead of them are enough to
     /// keep the prefill engines busy.
     pub prefill_backlog: Duration,
+    /// The longest prompt in tokens that a decode engine prefills by itself while the prefill engines are busy. It does so in
+    /// pieces between the tokens of its other requests; a longer one would make a pause in their streams that is late.
+    pub decode_prefill_tokens: Tokens,
     /// What is told to callers that are refused for want of an upstream.
     pub retry_after: Duration,
     /// The time since an upstream was heard within which a call that must run once is sent on a kept connection. An older
@@ -76,6 +81,7 @@
             filled: 1.05,
             filled_late: 0.97,
             prefill_backlog: Duration::from_millis(350),
+            decode_prefill_tokens: 6500,
             retry_after: Duration::from_millis(500),
             fresh_once: Duration::from_secs(1),
             fresh_stream: Duration::from_millis(400),
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -112,8 +112,9 @@
             return;
         }
         record.first_part();
-        if let Some(attempt) = &self.attempt {
+        if let Some(attempt) = &mut self.attempt {
             attempt.measure(1.0);
+            attempt.first_event();
         }
     }
 
@@ -152,6 +153,7 @@
                 Ok((response, attempt)) if response.status().is_success() => {
                     self.body = response.into_body();
                     self.attempt = Some(attempt);
+                    self.started = false;
                     return true;
                 }
                 Ok((response, attempt)) => {
