--- a/src/command.rs
+++ b/src/command.rs
@@ -5,6 +5,7 @@
 pub mod dump;
 pub mod emulate;
 pub mod load;
+pub mod log_queue;
 pub mod logging;
 pub mod serve;
 pub mod slopes;
--- /dev/null
+++ b/src/command/log_queue.rs
@@ -0,0 +1,109 @@
+//! Writes log lines to standard output through a bounded queue, so that a reader that is slow never holds up a request.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, TrySendError, bounded};
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+use log::Record;
+
+use crate::command::logging::write_line;
+use crate::process::metrics;
+
+/// The lines that wait at most. At some hundred bytes a line this is about a megabyte.
+const CAPACITY: usize = 4096;
+
+/// The time to wait for the last lines to be written when the process ends.
+const FLUSH_WAIT: Duration = Duration::from_millis(200);
+
+/// What is given to the writing thread.
+enum Entry {
+    Line(Vec<u8>),
+    /// Asks for an answer once all lines before have been written.
+    Flush(Sender<()>),
+}
+
+/// A log writer that never blocks: lines that find the queue full are counted and dropped.
+pub struct LogQueue {
+    tx: Sender<Entry>,
+    dropped: Arc<AtomicU64>,
+    _writer: JoinHandle<()>,
+}
+
+impl LogQueue {
+    /// Starts the thread that writes to `out`.
+    pub fn start(out: impl Write + Send + 'static) -> Self {
+        Self::with_capacity(out, CAPACITY)
+    }
+
+    /// Starts the thread that writes to `out`, with room for `capacity` lines.
+    pub fn with_capacity(out: impl Write + Send + 'static, capacity: usize) -> Self {
+        let (tx, rx) = bounded(capacity);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = dropped.clone();
+        let writer = std::thread::spawn(move || write_lines(&rx, out, &counter));
+        Self {
+            tx,
+            dropped,
+            _writer: writer,
+        }
+    }
+
+    /// Puts a line into the queue, or counts it as dropped.
+    pub fn push(&self, line: Vec<u8>) {
+        if let Err(TrySendError::Full(_)) = self.tx.try_send(Entry::Line(line)) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            ::metrics::counter!(metrics::LOG_LINES_DROPPED).increment(1);
+        }
+    }
+
+    /// Waits a moment for the lines before to be written.
+    pub fn flush_queue(&self) {
+        let (tx, rx) = bounded(1);
+        if self.tx.send_timeout(Entry::Flush(tx), FLUSH_WAIT).is_ok() {
+            // A reader that is still slow loses the rest.
+            let _: Result<(), RecvTimeoutError> = rx.recv_timeout(FLUSH_WAIT);
+        }
+    }
+}
+
+fn write_lines(rx: &Receiver<Entry>, mut out: impl Write, dropped: &AtomicU64) {
+    for entry in rx {
+        // Nothing can be logged about a log that can't be written.
+        let _ = match entry {
+            Entry::Line(mut line) => {
+                line.push(b'\n');
+                let lost = dropped.swap(0, Ordering::Relaxed);
+                if lost > 0 {
+                    line.extend_from_slice(
+                        format!("WARN log: {lost} lines dropped, output too slow\n").as_bytes(),
+                    );
+                }
+                out.write_all(&line)
+            }
+            Entry::Flush(done) => {
+                let flushed = out.flush();
+                let _ = done.send(());
+                flushed
+            }
+        };
+    }
+}
+
+impl LogWriter for LogQueue {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
+        let mut line = Vec::with_capacity(256);
+        write_line(&mut line, now, record)?;
+        self.push(line);
+        Ok(())
+    }
+
+    fn flush(&self) -> std::io::Result<()> {
+        self.flush_queue();
+        Ok(())
+    }
+}
--- a/src/command/logging.rs
+++ b/src/command/logging.rs
@@ -1,4 +1,4 @@
-//! Structured logs to standard error.
+//! Structured logs: to standard output from a host, else to standard error.
 
 use std::io::Write;
 
@@ -7,6 +7,7 @@
 use log::kv::{Error, Key, Value, VisitSource};
 
 use crate::command::CommandError;
+use crate::command::log_queue::LogQueue;
 
 /// Starts logging at `level` unless the environment variable `RUST_LOG` says otherwise. Logging lasts as long as the handle.
 ///
@@ -18,6 +19,17 @@
         .map_err(|e| CommandError::Usage(format!("log level {level:?}: {e}; use for example info")))
 }
 
+/// Starts logging of a host at `level`, to standard output through a queue that never blocks.
+///
+/// # Errors
+/// Returns `Usage` if the level does not parse.
+pub fn start_host(level: &str) -> Result<LoggerHandle, CommandError> {
+    let queue = LogQueue::start(std::io::stdout());
+    Logger::try_with_env_or_str(level)
+        .and_then(|logger| logger.log_to_writer(Box::new(queue)).start())
+        .map_err(|e| CommandError::Usage(format!("log level {level:?}: {e}; use for example info")))
+}
+
 struct KeyValues<'a>(&'a mut dyn Write);
 
 impl<'kvs> VisitSource<'kvs> for KeyValues<'_> {
@@ -26,7 +38,11 @@
     }
 }
 
-fn write_line(
+/// Writes a line without its end.
+///
+/// # Errors
+/// Returns the I/O error of the writer.
+pub fn write_line(
     w: &mut dyn Write,
     now: &mut DeferredNow,
     record: &Record<'_>,
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -2,8 +2,9 @@
 
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use crate::command::{CommandError, failed, logging, print, runtime};
@@ -27,12 +28,12 @@
 /// Returns `Usage` for wrong settings and `Failed` if the host can't start.
 pub fn run(path: &Path) -> Result<(), CommandError> {
     let settings = load(path)?;
-    let _logger = logging::start(&settings.log_level)?;
-    let mut signals = Signals::new([SIGTERM, SIGINT])
-        .map_err(|e| CommandError::Failed(format!("signals can't be handled: {e}")))?;
+    let _logger = logging::start_host(&settings.log_level)?;
     if let Some(forwarding) = settings.forwarding.clone() {
-        return runtime()?.block_on(forward(settings, forwarding, signals));
+        return runtime()?.block_on(forward(path, settings, forwarding));
     }
+    let mut signals = Signals::new([SIGTERM, SIGINT])
+        .map_err(|e| CommandError::Failed(format!("signals can't be handled: {e}")))?;
     runtime()?.block_on(async {
         let node = start(settings).await?;
         log::info!(address:% = node.callers_address; "serving callers");
@@ -50,32 +51,68 @@
     })
 }
 
-/// Runs a host that forwards whole requests, until a signal.
+/// The time between two looks at the settings file, which may change without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Runs a host that forwards whole requests, until SIGTERM or SIGINT. SIGHUP, or a changed file, has it read its settings again.
 async fn forward(
+    path: &Path,
     settings: Settings,
     forwarding: ForwardingSettings,
-    mut signals: Signals,
 ) -> Result<(), CommandError> {
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(failed("signals can't be handled"))?;
+    let (tx, mut rx) = tokio::sync::mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        for signal in signals.forever() {
+            // The receiver is gone only when the process ends.
+            let _ = tx.send(signal);
+        }
+    });
     let host = settings.host.clone();
+    let mut text = std::fs::read(path).unwrap_or_default();
     let outside = platform::connect(forwarding.store_address);
     let started = ForwardHost::start(settings, forwarding, outside).await;
     let node = started.map_err(failed(
         "host can't start; check the addresses in [callers], [operators] and [peer]",
     ))?;
     log::info!(target: "host", "{host} started, version {}, serving callers at {}", env!("CARGO_PKG_VERSION"), node.callers_address);
-    let (tx, rx) = tokio::sync::oneshot::channel();
-    std::thread::spawn(move || {
-        let signal = signals.forever().next();
-        let _ = tx.send(signal);
-    });
-    // The sender lives until a signal has come.
-    let _ = rx.await;
+    loop {
+        match tokio::time::timeout(SETTINGS_INTERVAL, rx.recv()).await {
+            Ok(Some(SIGHUP)) => reload(path, &node),
+            Ok(_) => break,
+            Err(_) => {
+                // A file that can't be read now is read later; the settings in force stay.
+                let now = std::fs::read(path).unwrap_or_else(|_| text.clone());
+                if now != text {
+                    text = now;
+                    reload(path, &node);
+                }
+            }
+        }
+    }
     log::info!(target: "host", "{host} stops; open requests finish");
     node.drain().await;
     log::info!(target: "host", "{host} ends");
     Ok(())
 }
 
+/// Puts a changed settings file in force, or logs why it is not.
+fn reload(path: &Path, node: &ForwardHost) {
+    let loaded = Settings::load(path).map_err(|problems| list_problems(&problems));
+    let forwarding = loaded.and_then(|settings| {
+        let missing = "no section [forwarding]; add it, or restart the host without it";
+        settings.forwarding.ok_or_else(|| missing.to_owned())
+    });
+    match forwarding {
+        Ok(forwarding) => {
+            node.reload(&forwarding);
+            log::info!(target: "host", "settings read again; bounds on retries and times of a stop are in force, the rest with the next start");
+        }
+        Err(problems) => log::error!(target: "host", "settings not taken over: {problems}"),
+    }
+}
+
 async fn start(settings: Settings) -> Result<Node, CommandError> {
     let started = if let Some(store) = settings.store_address {
         let store = HttpStore::new(&store.to_string(), StoreClientSettings::default());
--- a/src/connection/forward/front.rs
+++ b/src/connection/forward/front.rs
@@ -67,7 +67,9 @@
         let (body, memory) = body;
         let Admitted { route, customer } = admitted;
         let patience = head.patience.unwrap_or(self.cx.settings.default_deadline);
-        let patience = route.timeout.map_or(patience, |timeout| timeout.min(patience));
+        let patience = route
+            .timeout
+            .map_or(patience, |timeout| timeout.min(patience));
         let id = head.id.clone();
         let call = Arc::new(Call {
             head,
@@ -91,7 +93,12 @@
         }
     }
 
-    fn refuse(&self, head: &CallHead, record: ForwardRecord, refusal: &Refusal) -> Response<ResponseBody> {
+    fn refuse(
+        &self,
+        head: &CallHead,
+        record: ForwardRecord,
+        refusal: &Refusal,
+    ) -> Response<ResponseBody> {
         record.refused(refusal);
         self.with_id(&head.id, refusal_response(refusal))
     }
--- a/src/connection/forward/upstream_pool.rs
+++ b/src/connection/forward/upstream_pool.rs
@@ -19,7 +19,9 @@
 use tokio::task::JoinHandle;
 
 use crate::process::shard::Shards;
-use crate::request::forward::link::{BodyError, SendFailure, SendLimits, UpstreamBody, UpstreamLink};
+use crate::request::forward::link::{
+    BodyError, SendFailure, SendLimits, UpstreamBody, UpstreamLink,
+};
 
 /// The idle connections kept to one upstream. A host sends an upstream a few calls at once.
 const MAX_IDLE: usize = 4;
@@ -69,7 +71,9 @@
         let mut idle = self.idle.lock(&to);
         let kept = idle.get_mut(&to)?;
         kept.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
-        let ready = kept.iter().rposition(|idle| idle.connection.sender.is_ready())?;
+        let ready = kept
+            .iter()
+            .rposition(|idle| idle.connection.sender.is_ready())?;
         Some(kept.swap_remove(ready).connection)
     }
 
@@ -91,7 +95,9 @@
             Ok(Err(e)) => return Err(unreachable(e.to_string())),
             Err(_) => return Err(unreachable(format!("no connection in {timeout:?}"))),
         };
-        socket.set_nodelay(true).map_err(|e| unreachable(e.to_string()))?;
+        socket
+            .set_nodelay(true)
+            .map_err(|e| unreachable(e.to_string()))?;
         let handshake = http1::handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.map_err(|e| unreachable(e.to_string()))?;
         let driver = Driver(tokio::spawn(async move {
@@ -175,7 +181,11 @@
     Failed(SendFailure),
 }
 
-async fn exchange(mut connection: Connection, req: Request<Full<Bytes>>, deadline: Instant) -> Exchanged {
+async fn exchange(
+    mut connection: Connection,
+    req: Request<Full<Bytes>>,
+    deadline: Instant,
+) -> Exchanged {
     let sending = connection.sender.try_send_request(req);
     match tokio::time::timeout_at(deadline.into(), sending).await {
         Ok(Ok(response)) => Exchanged::Answer(connection, response),
@@ -192,12 +202,15 @@
 /// Returns the time for which a connection may be kept after an answer with these headers.
 fn keep_time(headers: &HeaderMap) -> Option<Duration> {
     let value = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let closes = value(CONNECTION.as_str()).is_some_and(|v| v.to_ascii_lowercase().contains("close"));
+    let closes =
+        value(CONNECTION.as_str()).is_some_and(|v| v.to_ascii_lowercase().contains("close"));
     if closes {
         return None;
     }
     let stated = value("keep-alive").and_then(|parameters| {
-        let timeout = parameters.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+        let timeout = parameters
+            .split(',')
+            .find_map(|p| p.trim().strip_prefix("timeout="))?;
         timeout.parse().ok().map(Duration::from_secs)
     });
     let keep = stated.map_or(DEFAULT_KEEP, |stated| stated.saturating_sub(KEEP_MARGIN));
--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -145,7 +145,11 @@
 
     /// Takes out one instance that turned out to be gone: another one answers at its address.
     pub fn remove(&mut self, id: &UpstreamId, born: u64) {
-        if self.instances.get(id).is_some_and(|known| known.born == born) {
+        if self
+            .instances
+            .get(id)
+            .is_some_and(|known| known.born == born)
+        {
             self.instances.remove(id);
             self.index();
         }
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -75,12 +75,18 @@
 
     /// Reads the directory.
     pub fn with_directory<T>(&self, read: impl FnOnce(&Directory) -> T) -> T {
-        read(&self.directory.read().unwrap_or_else(PoisonError::into_inner))
+        read(
+            &self
+                .directory
+                .read()
+                .unwrap_or_else(PoisonError::into_inner),
+        )
     }
 
     /// Returns the upstreams of a service that take new work.
     pub fn takers(&self, service: &str) -> Arc<[Arc<Instance>]> {
-        self.with_directory(|d| d.takers(service)).unwrap_or_default()
+        self.with_directory(|d| d.takers(service))
+            .unwrap_or_default()
     }
 
     /// Replaces the list of upstreams by one that was asked for at `asked`.
@@ -104,7 +110,12 @@
     }
 
     fn change_directory<T>(&self, change: impl FnOnce(&mut Directory) -> T) -> T {
-        change(&mut self.directory.write().unwrap_or_else(PoisonError::into_inner))
+        change(
+            &mut self
+                .directory
+                .write()
+                .unwrap_or_else(PoisonError::into_inner),
+        )
     }
 
     /// Locks the list of other hosts.
--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -26,6 +26,7 @@
 use crate::process::metrics;
 use crate::process::node::view::NodeView;
 use crate::process::settings::Settings;
+use crate::process::shard::lock;
 use crate::request::forward::codec::CallCodec;
 use crate::request::forward::flow::ForwardServices;
 
@@ -47,13 +48,29 @@
     pub clock: Arc<dyn Clock>,
 }
 
+/// The times of a graceful stop.
+#[derive(Debug, Clone, Copy)]
+struct StopTimes {
+    grace: Duration,
+    drain_delay: Duration,
+}
+
+impl StopTimes {
+    fn of(settings: &ForwardingSettings) -> Self {
+        Self {
+            grace: settings.grace,
+            drain_delay: settings.drain_delay,
+        }
+    }
+}
+
 /// A running host.
 pub struct ForwardHost {
     /// The callers' address.
     pub callers_address: SocketAddr,
     /// The operators' address.
     pub operators_address: Option<SocketAddr>,
-    settings: ForwardingSettings,
+    stop_times: Mutex<StopTimes>,
     front: Arc<ForwardFront>,
     cx: Arc<ForwardServices>,
     exchange: Arc<Exchange>,
@@ -149,7 +166,7 @@
         Ok(Self {
             callers_address,
             operators_address,
-            settings: forwarding,
+            stop_times: Mutex::new(StopTimes::of(&forwarding)),
             front,
             cx,
             exchange,
@@ -165,15 +182,21 @@
         self.cx.state.not_ready()
     }
 
+    /// Puts the parts of changed settings in force that need no restart: the bounds on retries and the times of a stop.
+    pub fn reload(&self, settings: &ForwardingSettings) {
+        self.cx.state.retries.set_bounds(settings.retries.clone());
+        *lock(&self.stop_times) = StopTimes::of(settings);
+    }
+
     /// Ends the host gracefully: it is no longer ready, ends kept connections with their next answer, takes new
     /// connections until the balancer has noticed, and lets open requests finish within the grace.
     pub async fn drain(self) {
         self.draining.send_replace(true);
         self.front.start_draining();
-        tokio::time::sleep(self.settings.drain_delay).await;
+        let times = *lock(&self.stop_times);
+        tokio::time::sleep(times.drain_delay).await;
         self.stop.send_replace(true);
-        let left = self.settings.grace - self.settings.drain_delay;
-        let left = left.saturating_sub(GRACE_MARGIN);
+        let left = times.grace.saturating_sub(times.drain_delay + GRACE_MARGIN);
         if tokio::time::timeout(left, self.serving).await.is_err() {
             log::warn!(target: "host", "requests still open at the end of the grace are cut off");
         }
@@ -189,7 +212,12 @@
     exchange: &Arc<Exchange>,
     orders: OrderGiver,
 ) -> Vec<JoinHandle<()>> {
-    let (a, b, c, d) = (watchers.clone(), watchers.clone(), watchers.clone(), watchers.clone());
+    let (a, b, c, d) = (
+        watchers.clone(),
+        watchers.clone(),
+        watchers.clone(),
+        watchers.clone(),
+    );
     let (sender, receiver) = (exchange.clone(), exchange.clone());
     vec![
         tokio::spawn(async move { a.follow_configuration().await }),
@@ -220,7 +248,9 @@
         .with_view("host", move || host.clone())
         .with_view("configuration", move || config.tables.current().version)
         .with_view("usage", move || usage.usage.levels())
-        .with_view("peers", move || peers.peers().ages(std::time::Instant::now()));
+        .with_view("peers", move || {
+            peers.peers().ages(std::time::Instant::now())
+        });
     let (state, draining) = (state.clone(), draining.subscribe());
     let not_ready = move || {
         if *draining.borrow() {
--- a/src/process/forwarding/line.rs
+++ b/src/process/forwarding/line.rs
@@ -62,7 +62,11 @@
     pub fn head(&self, now: Instant) -> Option<LineNo> {
         let rank = |no: LineNo, waiter: &Waiter| {
             let late = !waiter.is_on_time(now);
-            let target = if late { None } else { Some(waiter.on_time_until) };
+            let target = if late {
+                None
+            } else {
+                Some(waiter.on_time_until)
+            };
             (late, waiter.priority, target, no)
         };
         self.waiters
--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -11,8 +11,7 @@
 use crate::process::shard::Shards;
 
 /// Work that an upstream has been given and has not finished.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
     /// The calls.
     pub calls: u32,
@@ -266,7 +265,9 @@
     /// Drops an upstream that has left, unless calls still run there.
     pub fn forget(&self, instance: &Instance) {
         let mut upstreams = self.upstreams.lock(&instance.id);
-        let idle = upstreams.get(&instance.id).is_some_and(|load| load.own.calls == 0);
+        let idle = upstreams
+            .get(&instance.id)
+            .is_some_and(|load| load.own.calls == 0);
         if idle {
             upstreams.remove(&instance.id);
         }
--- a/src/process/forwarding/order_giver.rs
+++ b/src/process/forwarding/order_giver.rs
@@ -91,7 +91,10 @@
             if !self.is_first() || self.due(&ordered).is_empty() {
                 continue;
             }
-            if let Some(turn) = turn.as_ref().filter(|turn| now + ORDER_TIMEOUT <= turn.until) {
+            if let Some(turn) = turn
+                .as_ref()
+                .filter(|turn| now + ORDER_TIMEOUT <= turn.until)
+            {
                 self.give(turn, &mut ordered).await;
                 continue;
             }
@@ -111,16 +114,22 @@
 
     /// Tells whether this host is the first of those that are heard. The lease decides where two think so.
     fn is_first(&self) -> bool {
-        self.state.peers().first_heard(self.clock.now()).is_none_or(|first| self.host < first)
+        self.state
+            .peers()
+            .first_heard(self.clock.now())
+            .is_none_or(|first| self.host < first)
     }
 
     /// Returns the changes that are due. Engines that were ordered lately count as changed.
     fn due(&self, ordered: &HashMap<UpstreamId, Instant>) -> Vec<StageChange> {
         let table = self.state.tables.current();
-        let engines = table.services.values().filter(|service| service.engine.is_some());
+        let engines = table
+            .services
+            .values()
+            .filter(|service| service.engine.is_some());
         let is_ordered = |id: &UpstreamId| ordered.contains_key(id);
-        let changes =
-            engines.flat_map(|service| plan(&self.settings, &self.state.takers(&service.id), is_ordered));
+        let changes = engines
+            .flat_map(|service| plan(&self.settings, &self.state.takers(&service.id), is_ordered));
         changes.collect()
     }
 
@@ -132,14 +141,17 @@
             incarnation: self.incarnation,
         };
         let value = serde_json::to_vec(&holder).unwrap_or_default();
-        let fence = self.store.swap(HOLDER_KEY, Expected::Absent, value, Some(lease)).await?;
+        let fence = self
+            .store
+            .swap(HOLDER_KEY, Expected::Absent, value, Some(lease))
+            .await?;
         let started = self.clock.now().saturating_duration_since(self.started);
         if !(self.is_first_start && started < FIRST_TURN) {
             tokio::time::sleep(self.quiet).await;
         }
         Ok(Turn {
             fence,
-            until: asked + HOLDER_TTL - LEASE_MARGIN,
+            until: asked + HOLDER_TTL.saturating_sub(LEASE_MARGIN),
         })
     }
 
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -12,8 +12,7 @@
 use crate::process::message::CrashReport;
 
 /// What a host tells the others. Every report replaces the ones before, so that lost ones do no harm.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostReport {
     /// The host.
     pub host: HostId,
@@ -40,8 +39,7 @@
 }
 
 /// A host as it registered in the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
     /// The host.
     pub host: HostId,
@@ -143,7 +141,8 @@
         let is_listed = |id: &HostId| hosts.iter().any(|host| host.host == *id);
         let gone = |id: &HostId, peer: &Peer| {
             let silent = now.saturating_duration_since(peer.heard);
-            !is_listed(id) && (silent >= UNREGISTERED_TTL || (peer.registered && silent >= SILENT_AFTER))
+            !is_listed(id)
+                && (silent >= UNREGISTERED_TTL || (peer.registered && silent >= SILENT_AFTER))
         };
         let gone: Vec<_> = self
             .peers
@@ -178,7 +177,9 @@
     /// Tells whether a request waits for room at another host that can still meet its target.
     pub fn have_on_time(&self, now: Instant) -> bool {
         let is_heard = |peer: &Peer| now.saturating_duration_since(peer.heard) < SILENT_AFTER;
-        self.peers.values().any(|peer| peer.has_on_time && is_heard(peer))
+        self.peers
+            .values()
+            .any(|peer| peer.has_on_time && is_heard(peer))
     }
 
     /// Returns the first by name of the other hosts that are not silent.
@@ -197,6 +198,8 @@
     pub fn ages(&self, now: Instant) -> Vec<(HostId, Duration)> {
         let age = |peer: &Peer| now.saturating_duration_since(peer.heard);
         let peers = self.peers.iter();
-        peers.map(|(host, peer)| (host.clone(), age(peer))).collect()
+        peers
+            .map(|(host, peer)| (host.clone(), age(peer)))
+            .collect()
     }
 }
--- a/src/process/forwarding/retry_share.rs
+++ b/src/process/forwarding/retry_share.rs
@@ -1,10 +1,11 @@
 //! This host's part of the retries that all hosts together may make. Holds no I/O and reads no clock.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use crate::prelude::*;
-use crate::process::shard::Shards;
+use crate::process::shard::{Shards, lock};
 
 /// The bounds on retries over all hosts together.
 #[derive(Debug, Clone, PartialEq)]
@@ -52,7 +53,7 @@
 /// The retries of one host, by service.
 #[derive(Debug, Default)]
 pub struct RetryShare {
-    bounds: RetryBounds,
+    bounds: Mutex<RetryBounds>,
     services: Shards<HashMap<ModelId, ServiceWindow>>,
 }
 
@@ -60,27 +61,34 @@
     /// Creates a share of `bounds`.
     pub fn new(bounds: RetryBounds) -> Self {
         Self {
-            bounds,
+            bounds: Mutex::new(bounds),
             services: Shards::default(),
         }
     }
 
+    /// Replaces the bounds.
+    pub fn set_bounds(&self, bounds: RetryBounds) {
+        *lock(&self.bounds) = bounds;
+    }
+
     /// Counts a request to a service.
     pub fn count_request(&self, service: &ModelId, now: Instant) {
+        let bounds = lock(&self.bounds).clone();
         let mut services = self.services.lock(service);
         let window = services.entry(service.clone()).or_default();
-        window.forget(now.checked_sub(self.bounds.window));
+        window.forget(now.checked_sub(bounds.window));
         window.requests.push_back(now);
     }
 
     /// Takes one retry if this host, one of `hosts`, has one left; tells whether it had.
     pub fn take(&self, service: &ModelId, hosts: usize, now: Instant) -> bool {
+        let bounds = lock(&self.bounds).clone();
         let mut services = self.services.lock(service);
         let window = services.entry(service.clone()).or_default();
-        window.forget(now.checked_sub(self.bounds.window));
-        let slack = self.bounds.slack / hosts.max(1) as f64;
-        let earned = self.bounds.ratio * window.requests.len() as f64;
-        if (window.retries.len() + 1) as f64 > (slack + earned) * self.bounds.used {
+        window.forget(now.checked_sub(bounds.window));
+        let slack = bounds.slack / hosts.max(1) as f64;
+        let earned = bounds.ratio * window.requests.len() as f64;
+        if (window.retries.len() + 1) as f64 > (slack + earned) * bounds.used {
             return false;
         }
         window.retries.push_back(now);
--- a/src/process/forwarding/roles.rs
+++ b/src/process/forwarding/roles.rs
@@ -41,9 +41,15 @@
     takers: &[Arc<Instance>],
     is_changing: impl Fn(&UpstreamId) -> bool,
 ) -> Vec<StageChange> {
-    let mut left: Vec<_> = takers.iter().filter(|taker| taker.stage == Stage::Prefill).collect();
+    let mut left: Vec<_> = takers
+        .iter()
+        .filter(|taker| taker.stage == Stage::Prefill)
+        .collect();
     left.retain(|taker| !is_changing(&taker.id));
-    let engines = takers.iter().filter(|taker| taker.stage != Stage::Whole).count();
+    let engines = takers
+        .iter()
+        .filter(|taker| taker.stage != Stage::Whole)
+        .count();
     if engines < settings.least_engines {
         return Vec::new();
     }
--- a/src/process/forwarding/rooms.rs
+++ b/src/process/forwarding/rooms.rs
@@ -60,11 +60,18 @@
     /// Tells whether no request waits.
     pub fn is_empty(&self, service: &ModelId) -> bool {
         let services = self.services.lock(service);
-        services.get(service).is_none_or(|waiting| waiting.line.is_empty())
+        services
+            .get(service)
+            .is_none_or(|waiting| waiting.line.is_empty())
     }
 
     /// Enters the line of a service.
-    pub fn enter(self: &Arc<Self>, service: &ModelId, waiter: Waiter, clock: &Arc<dyn Clock>) -> Place {
+    pub fn enter(
+        self: &Arc<Self>,
+        service: &ModelId,
+        waiter: Waiter,
+        clock: &Arc<dyn Clock>,
+    ) -> Place {
         let waker = Arc::new(Notify::new());
         let mut services = self.services.lock(service);
         let waiting = services.entry(service.clone()).or_default();
@@ -97,14 +104,22 @@
     /// Tells whether a request waits that can still meet its target.
     pub fn has_on_time(&self, now: Instant) -> bool {
         let mut shards = self.services.iter();
-        shards.any(|services| services.values().any(|waiting| waiting.line.has_on_time(now)))
+        shards.any(|services| {
+            services
+                .values()
+                .any(|waiting| waiting.line.has_on_time(now))
+        })
     }
 
     /// Returns the number of requests that wait in each line, for the dump.
     pub fn lengths(&self) -> Vec<(ModelId, usize)> {
         let mut lengths = Vec::new();
         for services in self.services.iter() {
-            lengths.extend(services.iter().map(|(id, waiting)| (id.clone(), waiting.line.len())));
+            lengths.extend(
+                services
+                    .iter()
+                    .map(|(id, waiting)| (id.clone(), waiting.line.len())),
+            );
         }
         lengths
     }
@@ -114,7 +129,9 @@
     /// Tells whether the request is next.
     pub fn is_head(&self) -> bool {
         let services = self.rooms.services.lock(&self.service);
-        let head = services.get(&self.service).and_then(|waiting| waiting.line.head(self.clock.now()));
+        let head = services
+            .get(&self.service)
+            .and_then(|waiting| waiting.line.head(self.clock.now()));
         head == Some(self.no)
     }
 
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -117,7 +117,10 @@
             ..defaults
         };
         if settings.grace <= settings.drain_delay {
-            fields.problem("grace", "not above drain_delay; raise it or lower drain_delay");
+            fields.problem(
+                "grace",
+                "not above drain_delay; raise it or lower drain_delay",
+            );
         }
         settings
     }
--- a/src/process/forwarding/state_source.rs
+++ b/src/process/forwarding/state_source.rs
@@ -40,7 +40,7 @@
 /// Where the configuration and the upstreams stand in the store, and how they are written there.
 pub trait StateCodec: Send + Sync {
     /// Returns the key of the configuration.
-    fn configuration_key(&self) -> &str;
+    fn configuration_key(&self) -> &'static str;
 
     /// Reads a configuration.
     ///
@@ -49,7 +49,7 @@
     fn read_configuration(&self, value: &[u8]) -> Result<ForwardingTable, StateError>;
 
     /// Returns the prefix of the keys under which upstreams register.
-    fn upstream_prefix(&self) -> &str;
+    fn upstream_prefix(&self) -> &'static str;
 
     /// Reads the registration of one upstream.
     ///
--- a/src/process/forwarding/usage.rs
+++ b/src/process/forwarding/usage.rs
@@ -215,7 +215,13 @@
     }
 
     /// Charges what another host reports to have granted.
-    pub fn merge(&self, reporter: Reporter<'_>, customer: &CustomerId, granted: Granted, now: Instant) {
+    pub fn merge(
+        &self,
+        reporter: Reporter<'_>,
+        customer: &CustomerId,
+        granted: Granted,
+        now: Instant,
+    ) {
         let mut accounts = self.accounts.lock(customer);
         let Some(account) = accounts.get_mut(customer) else {
             return;
@@ -240,7 +246,13 @@
     }
 
     /// Charges the even share of `silent` hosts for the time `elapsed`, in which they were not heard; `hosts` is the number of all.
-    pub fn assume(&self, silent: &[(HostId, Incarnation)], hosts: usize, elapsed: Duration, now: Instant) {
+    pub fn assume(
+        &self,
+        silent: &[(HostId, Incarnation)],
+        hosts: usize,
+        elapsed: Duration,
+        now: Instant,
+    ) {
         if silent.is_empty() {
             return;
         }
@@ -284,7 +296,11 @@
     pub fn levels(&self) -> Vec<(CustomerId, f64)> {
         let mut levels = Vec::new();
         for accounts in self.accounts.iter() {
-            levels.extend(accounts.iter().map(|(customer, a)| (customer.clone(), a.level)));
+            levels.extend(
+                accounts
+                    .iter()
+                    .map(|(customer, a)| (customer.clone(), a.level)),
+            );
         }
         levels
     }
--- a/src/process/forwarding/watchers.rs
+++ b/src/process/forwarding/watchers.rs
@@ -205,12 +205,19 @@
     }
 
     async fn register_once(&self) -> Result<LeaseId, StoreError> {
-        let lease = self.store.grant_lease(self.settings.registration_ttl).await?;
+        let lease = self
+            .store
+            .grant_lease(self.settings.registration_ttl)
+            .await?;
         let key = self.registration_key();
         let value = serde_json::to_vec(&self.registration).unwrap_or_default();
         let mut expected = Expected::Absent;
         loop {
-            match self.store.swap(&key, expected, value.clone(), Some(lease)).await {
+            match self
+                .store
+                .swap(&key, expected, value.clone(), Some(lease))
+                .await
+            {
                 Ok(_) => return Ok(lease),
                 // The entry of the process before; this one has the same address.
                 Err(StoreError::Conflict { current }) => {
@@ -277,7 +284,9 @@
             match serde_json::from_slice::<Registration>(&entry.value) {
                 Ok(host) if host.host == self.registration.host => {}
                 Ok(host) => hosts.push(host),
-                Err(e) => log::warn!(target: "peers", "registration {} not readable: {e}", entry.key),
+                Err(e) => {
+                    log::warn!(target: "peers", "registration {} not readable: {e}", entry.key);
+                }
             }
         }
         let now = self.clock.now();
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::{Response, StatusCode};
 use http::header::CONTENT_LENGTH;
+use http::{Response, StatusCode};
 use http_body_util::Full;
 
 use crate::prelude::*;
@@ -171,11 +171,11 @@
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call.uri.clone();
         *req.headers_mut() = cx.codec.write_attempt(call, &head);
-        let heard = cx.state.loads.heard(&self.instance);
+        let last_sign = cx.state.loads.heard(&self.instance);
         let limits = SendLimits {
             connect: cx.settings.connect_timeout,
             deadline: sending.until,
-            reuse: heard.is_some_and(|heard| now.saturating_duration_since(heard) < sending.fresh),
+            reuse: last_sign.is_some_and(|at| now.saturating_duration_since(at) < sending.fresh),
         };
         let sent = cx.link.send(self.instance.address, req, limits).await;
         let (head, body) = sent.map_err(AttemptFailure::Sending)?.into_parts();
@@ -284,9 +284,9 @@
     let now = cx.clock.now();
     let takers = cx.state.takers(service);
     let fits = |instance: &&Arc<Instance>| {
-        let has_model = |model: &Name| instance.models.is_empty() || instance.models.contains(model);
-        stages.contains(&instance.stage)
-            && model.is_none_or(has_model)
+        let has_model =
+            |model: &Name| instance.models.is_empty() || instance.models.contains(model);
+        stages.contains(&instance.stage) && model.is_none_or(has_model)
     };
     let candidates: Vec<_> = takers
         .iter()
@@ -309,7 +309,11 @@
         Purpose::Decode => "decode",
     };
     let work = candidate.load.work();
-    let blocked = if candidate.load.is_blocked { " blocked" } else { "" };
+    let blocked = if candidate.load.is_blocked {
+        " blocked"
+    } else {
+        ""
+    };
     format!(
         "{purpose} at {} calls={} tokens={} prompts={} unanswered={}ms{blocked}",
         candidate.instance.id,
--- a/src/request/forward/call.rs
+++ b/src/request/forward/call.rs
@@ -94,7 +94,10 @@
 
     /// Returns the urgency; 0 is the most urgent.
     pub fn priority(&self) -> u8 {
-        let customer = self.customer.as_ref().and_then(|customer| customer.priority);
+        let customer = self
+            .customer
+            .as_ref()
+            .and_then(|customer| customer.priority);
         customer.unwrap_or(self.route.priority)
     }
 }
--- a/src/request/forward/events.rs
+++ b/src/request/forward/events.rs
@@ -62,7 +62,7 @@
 /// Returns the id of the last event that has one.
 fn last_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = std::str::from_utf8(ids.last()?).ok()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = std::str::from_utf8(ids.next_back()?).ok()?;
     Some(id.trim().to_owned())
 }
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -118,26 +118,37 @@
     let now = cx.clock.now();
     if call.deadline <= now {
         let message = "deadline passed before the request could run; repeat it with more time";
-        return Err(Refusal::not_run(RefusalKind::Overloaded, message).after(cx.settings.retry_after));
+        return Err(
+            Refusal::not_run(RefusalKind::Overloaded, message).after(cx.settings.retry_after)
+        );
     }
     if cx.state.is_quarantined(&call.fingerprint(), now) {
         // The request may be a valid one, so the status is not one that blames the caller.
         let message = "equal requests crashed their upstreams; don't repeat it";
-        return Err(Refusal::not_run(RefusalKind::Unavailable, message).after(cx.settings.default_deadline));
+        return Err(
+            Refusal::not_run(RefusalKind::Unavailable, message).after(cx.settings.default_deadline)
+        );
     }
     let charged = charge(cx, call, record).await?;
     let table = cx.state.tables.current();
     let Some(service) = call.route.pick(rand::random()) else {
         let message = "route has no service; correct the configuration";
-        return Err(Refusal::not_run(RefusalKind::Unavailable, message).after(cx.settings.retry_after));
+        return Err(
+            Refusal::not_run(RefusalKind::Unavailable, message).after(cx.settings.retry_after)
+        );
     };
     cx.state.retries.count_request(service, now);
-    let engine = table.services.get(service).and_then(|service| service.engine);
+    let engine = table
+        .services
+        .get(service)
+        .and_then(|service| service.engine);
     let started: BoxFuture<'_, Result<Started, Refusal>> = match engine {
         Some(engine) if call.route.repeat.is_stream() => {
             generation::run(cx, call, service, engine, record).boxed()
         }
-        _ => plain::run(cx, call, service, record).map_ok(Started::Whole).boxed(),
+        _ => plain::run(cx, call, service, record)
+            .map_ok(Started::Whole)
+            .boxed(),
     };
     let started = started.await;
     // The charge of a caller that left stays: its request may have run.
@@ -163,7 +174,10 @@
     let tokens = call.cost();
     let target = call.route.target.unwrap_or(cx.settings.default_target);
     let longest = target.mul_f64(cx.settings.wait_part);
-    let charged = cx.state.usage.charge(customer, tokens, longest, cx.clock.now());
+    let charged = cx
+        .state
+        .usage
+        .charge(customer, tokens, longest, cx.clock.now());
     let charged = charged.map_err(|wait| {
         let message = "rate of the customer used up; repeat after the time in Retry-After";
         Refusal::not_run(RefusalKind::RateLimited, message)
@@ -176,7 +190,10 @@
             ))
     })?;
     if let Charged::After(wait) = charged {
-        record.note(format_args!("waits {}ms for the customer's rate", wait.as_millis()));
+        record.note(format_args!(
+            "waits {}ms for the customer's rate",
+            wait.as_millis()
+        ));
         let queued = QueuedCharge {
             usage: &cx.state.usage,
             customer: &customer.id,
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -277,7 +277,13 @@
                 return Err(self.refusal(&last));
             }
             let is_on_time = now < on_time_until;
-            place.wait(if is_on_time { on_time_until.min(give_up) } else { give_up }).await;
+            place
+                .wait(if is_on_time {
+                    on_time_until.min(give_up)
+                } else {
+                    give_up
+                })
+                .await;
             if is_on_time && cx.clock.now() >= on_time_until {
                 place.pass_on();
                 cx.state.report_soon();
@@ -292,7 +298,9 @@
         let route = &self.call.route;
         let target = route.target.unwrap_or(settings.default_target);
         let patience = self.call.head.patience.unwrap_or_default();
-        let waited = route.timeout.map_or(Duration::ZERO, |timeout| timeout.saturating_sub(patience));
+        let waited = route
+            .timeout
+            .map_or(Duration::ZERO, |timeout| timeout.saturating_sub(patience));
         self.call.arrived + target.mul_f64(settings.wait_part).saturating_sub(waited)
     }
 
@@ -309,14 +317,20 @@
     fn give_up_at(&self) -> Result<Instant, Refusal> {
         let cx = &self.cx;
         let takers = cx.state.takers(&self.service);
-        let engines = takers.iter().filter(|taker| taker.stage != Stage::Prefill).count();
+        let engines = takers
+            .iter()
+            .filter(|taker| taker.stage != Stage::Prefill)
+            .count();
         if engines == 0 {
             return Err(self.refusal("no engine takes new work"));
         }
         let room = self.engine.kv_tokens.saturating_mul(engines as u64);
         let hosts = cx.state.peers().host_count();
         let tokens = self.memory_tokens();
-        let wait = cx.state.rooms.predicted_wait(&self.service, tokens, room, hosts);
+        let wait = cx
+            .state
+            .rooms
+            .predicted_wait(&self.service, tokens, room, hosts);
         let now = cx.clock.now();
         let left = self.call.deadline.saturating_duration_since(now);
         let waited = now.saturating_duration_since(self.call.arrived);
@@ -326,7 +340,11 @@
             let message = "engines are busy for longer than the request may wait; repeat after the time in Retry-After";
             return Err(Refusal::not_run(RefusalKind::Overloaded, message)
                 .after(wait)
-                .with_figures(format!("predicted_wait={}ms longest={}ms", wait.as_millis(), longest.as_millis())));
+                .with_figures(format!(
+                    "predicted_wait={}ms longest={}ms",
+                    wait.as_millis(),
+                    longest.as_millis()
+                )));
         }
         Ok(now + longest)
     }
@@ -351,7 +369,11 @@
     ) -> Result<Attempt, NoRoom> {
         let settings = &self.cx.settings;
         let is_on_time = self.cx.clock.now() < on_time_until;
-        let filled = if is_on_time { settings.filled } else { settings.filled_late };
+        let filled = if is_on_time {
+            settings.filled
+        } else {
+            settings.filled_late
+        };
         if !is_on_time && self.cx.state.peers().have_on_time(self.cx.clock.now()) {
             return Err(NoRoom::Yields);
         }
@@ -380,7 +402,12 @@
         })?;
         record.note(describe(Purpose::Decode, &candidate));
         let prompts = if by_itself { prompt } else { 0 };
-        Ok(Attempt::begin_with_prompt(&self.cx, candidate.instance, tokens, prompts))
+        Ok(Attempt::begin_with_prompt(
+            &self.cx,
+            candidate.instance,
+            tokens,
+            prompts,
+        ))
     }
 
     /// Takes as many retries as one more call needs; tells whether the budget has them.
@@ -397,7 +424,9 @@
     fn take_one_retry(&self, cause: &'static str) -> bool {
         let state = &self.cx.state;
         let hosts = state.peers().host_count();
-        let taken = state.retries.take(&self.service, hosts, self.cx.clock.now());
+        let taken = state
+            .retries
+            .take(&self.service, hosts, self.cx.clock.now());
         if taken {
             ::metrics::counter!(metrics::RETRIES, "cause" => cause).increment(1);
         }
@@ -431,12 +460,20 @@
         None
     }
 
-    async fn prefill_at(&self, holder: Arc<Instance>, queued: Tokens) -> Result<Ready, AttemptFailure> {
+    async fn prefill_at(
+        &self,
+        holder: Arc<Instance>,
+        queued: Tokens,
+    ) -> Result<Ready, AttemptFailure> {
         let cx = &self.cx;
         let tokens = self.prompt_tokens();
         let mut attempt = Attempt::begin(cx, holder.clone(), tokens);
-        let work = Duration::from_secs_f64((queued + tokens) as f64 / cx.settings.slow_prefill_rate);
-        let until = self.call.deadline.min(attempt.sent + cx.settings.prefill_grace + work);
+        let work =
+            Duration::from_secs_f64((queued + tokens) as f64 / cx.settings.slow_prefill_rate);
+        let until = self
+            .call
+            .deadline
+            .min(attempt.sent + cx.settings.prefill_grace + work);
         let sending = Sending {
             part: Part::Prefill,
             last_event: None,
@@ -532,13 +569,20 @@
         let is_new = |candidate: &Candidate| !self.tried.contains(&candidate.instance.id);
         let candidate = self.choose(Purpose::Decode, near, is_new)?;
         record.note(describe(Purpose::Decode, &candidate));
-        Some(Attempt::begin(&self.cx, candidate.instance, self.memory_tokens()))
+        Some(Attempt::begin(
+            &self.cx,
+            candidate.instance,
+            self.memory_tokens(),
+        ))
     }
 
     fn refusal(&self, last: &str) -> Refusal {
         if self.runs == 0 {
-            let message = format!("no engine could take the request ({last}); repeat after the time in Retry-After");
-            return Refusal::not_run(RefusalKind::Overloaded, message).after(self.cx.settings.retry_after);
+            let message = format!(
+                "no engine could take the request ({last}); repeat after the time in Retry-After"
+            );
+            return Refusal::not_run(RefusalKind::Overloaded, message)
+                .after(self.cx.settings.retry_after);
         }
         let kind = if self.cx.clock.now() >= self.call.deadline {
             RefusalKind::UpstreamTimeout
--- a/src/request/forward/link.rs
+++ b/src/request/forward/link.rs
@@ -7,8 +7,8 @@
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
 use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 
 use crate::request::run::Run;
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -13,7 +13,9 @@
 use crate::process::forwarding::load::CallEnd;
 use crate::process::forwarding::selection::{Candidate, Need, Purpose};
 use crate::process::metrics;
-use crate::request::forward::attempt::{Attempt, AttemptFailure, Sending, choose, describe, is_short};
+use crate::request::forward::attempt::{
+    Attempt, AttemptFailure, Sending, choose, describe, is_short,
+};
 use crate::request::forward::call::{Call, Part};
 use crate::request::forward::flow::ForwardServices;
 use crate::request::forward::link::{BodyError, SendFailure, UpstreamBody, read_whole};
@@ -58,7 +60,10 @@
     let mut last = "no upstream takes new work".to_owned();
     for _ in 0..cx.settings.max_tries {
         let now = cx.clock.now();
-        if now >= call.deadline || (calls.runs > 0 && !repeatable) || calls.runs >= call.route.max_attempts {
+        if now >= call.deadline
+            || (calls.runs > 0 && !repeatable)
+            || calls.runs >= call.route.max_attempts
+        {
             break;
         }
         let Some(candidate) = calls.choose() else {
@@ -139,7 +144,11 @@
         repeatable: bool,
     ) -> Result<Response<UpstreamBody>, AttemptFailure> {
         let settings = &self.cx.settings;
-        let fresh = if repeatable { settings.fresh_repeatable } else { settings.fresh_once };
+        let fresh = if repeatable {
+            settings.fresh_repeatable
+        } else {
+            settings.fresh_once
+        };
         let sending = Sending {
             part: Part::Whole,
             last_event: None,
@@ -173,8 +182,11 @@
 
     fn refusal(&self, last: &str) -> Refusal {
         if self.runs == 0 {
-            let message = format!("no upstream could take the request ({last}); repeat after the time in Retry-After");
-            return Refusal::not_run(RefusalKind::Overloaded, message).after(self.cx.settings.retry_after);
+            let message = format!(
+                "no upstream could take the request ({last}); repeat after the time in Retry-After"
+            );
+            return Refusal::not_run(RefusalKind::Overloaded, message)
+                .after(self.cx.settings.retry_after);
         }
         let kind = if self.cx.clock.now() >= self.call.deadline {
             RefusalKind::UpstreamTimeout
--- a/src/request/forward/record.rs
+++ b/src/request/forward/record.rs
@@ -48,7 +48,12 @@
 
 impl ForwardRecord {
     /// Starts the account of a request that arrived at `started` under configuration `version`.
-    pub fn start(clock: Arc<dyn Clock>, head: &CallHead, version: Version, started: Instant) -> Self {
+    pub fn start(
+        clock: Arc<dyn Clock>,
+        head: &CallHead,
+        version: Version,
+        started: Instant,
+    ) -> Self {
         Self {
             clock,
             id: head.id.clone(),
@@ -89,7 +94,11 @@
     /// Ends the account of a request that was refused.
     pub fn refused(mut self, refusal: &Refusal) {
         ::metrics::counter!(metrics::REFUSALS, "kind" => refusal.kind.name()).increment(1);
-        let run = if refusal.run == Run::NotRun { "not run" } else { "may have run" };
+        let run = if refusal.run == Run::NotRun {
+            "not run"
+        } else {
+            "may have run"
+        };
         if !refusal.figures.is_empty() {
             self.note(&refusal.figures);
         }
--- a/src/version/forwarding.rs
+++ b/src/version/forwarding.rs
@@ -178,7 +178,7 @@
             same_host.push(Arc::new(route));
         }
         for same_host in self.routes.values_mut() {
-            same_host.sort_by(|a, b| b.prefix.len().cmp(&a.prefix.len()));
+            same_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         self
     }
--- /dev/null
+++ b/tests/suite/forward_fleet.rs
@@ -0,0 +1,404 @@
+//! What a forwarding host decides by what it knows of upstreams and other hosts: directory, load, choice, line, roles, retries.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+
+use hibiscusspread::prelude::*;
+use hibiscusspread::process::forwarding::directory::{
+    Directory, DirectorySettings, Instance, Stage,
+};
+use hibiscusspread::process::forwarding::line::{Line, Waiter};
+use hibiscusspread::process::forwarding::load::{CallEnd, LoadBook, LoadSettings, LoadView, Work};
+use hibiscusspread::process::forwarding::peers::{HostReport, PeerBook, Registration, ReportOrder};
+use hibiscusspread::process::forwarding::retry_share::{RetryBounds, RetryShare};
+use hibiscusspread::process::forwarding::roles::{RoleSettings, plan};
+use hibiscusspread::process::forwarding::selection::{
+    Candidate, Need, PredictedTime, Purpose, Selection, SelectionSettings,
+};
+
+fn instance(id: &str, stage: Stage, data_centre: &str) -> Instance {
+    Instance {
+        id: id.into(),
+        born: 1,
+        service: "writers".into(),
+        address: "127.0.0.1:9".parse().expect("address"),
+        data_centre: data_centre.into(),
+        stage,
+        draining: false,
+        slots: 8,
+        models: std::iter::once("m".into()).collect(),
+    }
+}
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn ids(directory: &Directory) -> Vec<UpstreamId> {
+    let takers = directory.takers("writers").unwrap_or_default();
+    takers.iter().map(|taker| taker.id.clone()).collect()
+}
+
+/// Guards against new work for an upstream that drains or whose entry has gone while the store is well.
+#[test]
+fn leaving_upstreams_take_no_work() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    let (a, b) = (
+        instance("a", Stage::Whole, "x"),
+        instance("b", Stage::Whole, "x"),
+    );
+    directory.apply(vec![a.clone(), b.clone()], now);
+    let draining = Instance {
+        draining: true,
+        ..a
+    };
+    let change = directory.apply(vec![draining], now + millis(800));
+    assert_eq!(change.left.len(), 2);
+    assert!(ids(&directory).is_empty());
+}
+
+/// Guards against dropping upstreams whose entries lapsed while the store was away, and against keeping them for good.
+#[test]
+fn missing_entries_mean_nothing_shortly_after_an_outage() {
+    let now = Instant::now();
+    let mut directory = Directory::new(DirectorySettings::default());
+    directory.apply(vec![instance("a", Stage::Whole, "x")], now);
+    directory.read_failed();
+    let change = directory.apply(Vec::new(), now + millis(5000));
+    assert_eq!((change.kept, ids(&directory).len()), (1, 1));
+    directory.apply(Vec::new(), now + millis(6000));
+    assert_eq!(ids(&directory).len(), 1);
+    directory.apply(Vec::new(), now + millis(7300));
+    assert!(ids(&directory).is_empty());
+}
+
+/// Guards against a restart under the same id that keeps the failures of the process before.
+#[test]
+fn reborn_upstream_starts_anew() {
+    let now = Instant::now();
+    let loads = LoadBook::new(LoadSettings::default());
+    let old = instance("a", Stage::Whole, "x");
+    let work = Work {
+        calls: 1,
+        ..Work::default()
+    };
+    loads.begin(&old, work);
+    loads.end(&old, 1, work, CallEnd::Failed, now);
+    assert!(loads.view(&old, now).is_blocked);
+    let reborn = Instance { born: 2, ..old };
+    assert!(!loads.view(&reborn, now).is_blocked);
+    let mut directory = Directory::default();
+    directory.apply(vec![instance("a", Stage::Whole, "x")], now);
+    let change = directory.apply(vec![reborn], now);
+    assert_eq!(change.started.len(), 1);
+}
+
+/// Guards against failed upstreams that get work at once, or never again.
+#[test]
+fn failed_upstream_rests_longer_each_time() {
+    let now = Instant::now();
+    let loads = LoadBook::new(LoadSettings::default());
+    let a = instance("a", Stage::Whole, "x");
+    let work = Work {
+        calls: 1,
+        ..Work::default()
+    };
+    let mut rests = Vec::new();
+    for _ in 0..6 {
+        loads.begin(&a, work);
+        loads.end(&a, 1, work, CallEnd::Failed, now);
+        let rest = (0..100).find(|step| !loads.view(&a, now + millis(step * 100)).is_blocked);
+        rests.push(rest.expect("rest ends"));
+    }
+    assert!(rests.is_sorted() && rests[0] < rests[5], "{rests:?}");
+    loads.begin(&a, work);
+    loads.end(&a, 1, work, CallEnd::Answered, now);
+    assert!(!loads.view(&a, now).is_blocked);
+}
+
+/// Guards against reports of other hosts that add up, or that count after the host has fallen silent.
+#[test]
+fn reports_replace_each_other_and_age() {
+    let now = Instant::now();
+    let loads = LoadBook::new(LoadSettings::default());
+    let a = instance("a", Stage::Decode, "x");
+    loads.view(&a, now);
+    let work = Work {
+        calls: 2,
+        tokens: 9000,
+        prompts: 0,
+    };
+    for _ in 0..3 {
+        loads.merge(&"b".into(), &[("a".into(), work)], now);
+    }
+    assert_eq!(loads.view(&a, now).others, work);
+    loads.merge(&"b".into(), &[], now);
+    assert_eq!(loads.view(&a, now).others, Work::default());
+    loads.merge(&"b".into(), &[("a".into(), work)], now);
+    assert_eq!(loads.view(&a, now + millis(2000)).others, Work::default());
+}
+
+fn candidate(id: &str, stage: Stage, data_centre: &str, load: LoadView) -> Candidate {
+    Candidate {
+        instance: Arc::new(instance(id, stage, data_centre)),
+        load,
+    }
+}
+
+fn need(purpose: Purpose) -> Need {
+    Need {
+        purpose,
+        tokens: 5000,
+        near: "x".into(),
+        kv_tokens: 50_000,
+    }
+}
+
+fn busy(calls: u32, tokens: Tokens) -> LoadView {
+    LoadView {
+        own: Work {
+            calls,
+            tokens,
+            prompts: 0,
+        },
+        ..LoadView::default()
+    }
+}
+
+/// Guards against bytes that cross data centres without need, and against a queue at the near upstream while a far one is free.
+#[test]
+fn near_is_chosen_unless_it_is_busy() {
+    let selection = PredictedTime::new(SelectionSettings::default());
+    let far = candidate("far", Stage::Prefill, "y", LoadView::default());
+    let near = candidate("near", Stage::Prefill, "x", LoadView::default());
+    let need = need(Purpose::Prefill);
+    assert_eq!(selection.choose(&need, &[far.clone(), near]), Some(1));
+    let near = candidate("near", Stage::Prefill, "x", busy(4, 20_000));
+    assert_eq!(selection.choose(&need, &[far, near]), Some(0));
+}
+
+/// Guards against work for upstreams that hang, are full or failed, while another one is well.
+#[test]
+fn unwell_upstreams_come_last() {
+    let selection = PredictedTime::new(SelectionSettings::default());
+    let hangs = LoadView {
+        unanswered: millis(5000),
+        ..busy(1, 5000)
+    };
+    let blocked = LoadView {
+        is_blocked: true,
+        ..LoadView::default()
+    };
+    let candidates = [
+        candidate("hangs", Stage::Decode, "x", hangs),
+        candidate("full", Stage::Decode, "x", busy(9, 48_000)),
+        candidate("blocked", Stage::Decode, "x", blocked),
+        candidate("well", Stage::Decode, "y", busy(5, 25_000)),
+    ];
+    for _ in 0..8 {
+        assert_eq!(
+            selection.choose(&need(Purpose::Decode), &candidates),
+            Some(3)
+        );
+    }
+    assert_eq!(selection.choose(&need(Purpose::Decode), &[]), None);
+}
+
+/// Load pattern: a burst above the memory of all decode engines. Guards against a line in which every request becomes late
+/// because the oldest, late already, go first.
+#[test]
+fn burst_makes_some_requests_late_rather_than_all() {
+    let now = Instant::now();
+    let mut line = Line::default();
+    let waiter = |until: u64| Waiter {
+        priority: 1,
+        on_time_until: now + millis(until),
+        tokens: 5000,
+    };
+    let old = line.enter(waiter(100));
+    let next = line.enter(waiter(900));
+    let soon = line.enter(waiter(500));
+    assert_eq!(line.head(now + millis(50)), Some(old));
+    assert_eq!(line.head(now + millis(200)), Some(soon));
+    line.leave(soon);
+    assert_eq!(line.head(now + millis(200)), Some(next));
+    line.leave(next);
+    assert_eq!(line.head(now + millis(200)), Some(old));
+    // All late: in the order of arrival.
+    let later = line.enter(waiter(0));
+    assert_eq!(line.head(now + millis(200)), Some(old));
+    line.leave(old);
+    assert_eq!(line.head(now + millis(200)), Some(later));
+}
+
+/// Guards against urgent requests that wait behind others.
+#[test]
+fn urgent_requests_go_first() {
+    let now = Instant::now();
+    let mut line = Line::default();
+    let waiter = |priority| Waiter {
+        priority,
+        on_time_until: now + millis(500),
+        tokens: 5000,
+    };
+    line.enter(waiter(2));
+    let urgent = line.enter(waiter(0));
+    assert_eq!(line.head(now), Some(urgent));
+}
+
+/// Guards against requests that are let in although the line ahead takes longer than they may wait.
+#[test]
+fn predicted_wait_grows_with_the_line() {
+    let now = Instant::now();
+    let mut line = Line::default();
+    line.held(millis(4000));
+    let short = line.predicted_wait(5000, 500_000, 5);
+    for _ in 0..20 {
+        line.enter(Waiter {
+            priority: 1,
+            on_time_until: now,
+            tokens: 5000,
+        });
+    }
+    let long = line.predicted_wait(5000, 500_000, 5);
+    assert!(
+        short < millis(300) && long > millis(3000),
+        "{short:?} {long:?}"
+    );
+    assert_eq!(line.predicted_wait(5000, 0, 5), Duration::MAX);
+}
+
+/// Guards against a division of engines that starves one side, and against orders without need.
+#[test]
+fn surplus_prefill_engines_change_to_decode() {
+    let settings = RoleSettings::default();
+    let engines: Vec<_> = (0..18)
+        .map(|i| {
+            let stage = if i < 7 { Stage::Prefill } else { Stage::Decode };
+            Arc::new(instance(
+                &format!("e-{i:02}"),
+                stage,
+                ["x", "y", "z"][i % 3],
+            ))
+        })
+        .collect();
+    let changes = plan(&settings, &engines, |_| false);
+    assert_eq!(changes.len(), 3);
+    assert!(
+        changes
+            .iter()
+            .all(|change| change.stage == Stage::Decode && change.instance.stage == Stage::Prefill)
+    );
+    let centres: std::collections::HashSet<_> = changes
+        .iter()
+        .map(|c| c.instance.data_centre.clone())
+        .collect();
+    assert!(centres.len() >= 2, "{centres:?}");
+    // Engines that were ordered already still register their old stage.
+    let ordered: Vec<_> = changes
+        .iter()
+        .map(|change| change.instance.id.clone())
+        .collect();
+    assert!(plan(&settings, &engines, |id| ordered.contains(id)).is_empty());
+    assert!(plan(&settings, &engines[5..9], |_| false).is_empty());
+}
+
+fn report(host: &str, incarnation: Incarnation, number: u64) -> HostReport {
+    HostReport {
+        host: host.into(),
+        address: "127.0.0.1:9".parse().expect("address"),
+        incarnation,
+        number,
+        uptime: millis(1),
+        version: 1,
+        leaving: false,
+        granted: Vec::new(),
+        work: Vec::new(),
+        has_on_time: false,
+        crashes: Vec::new(),
+    }
+}
+
+/// Guards against old reports that overtake new ones, and hosts that are counted after they have left.
+#[test]
+fn peers_come_go_and_fall_silent() {
+    let now = Instant::now();
+    let mut peers = PeerBook::default();
+    assert_eq!(peers.heard(&report("b", 1, 5), now), ReportOrder::Newest);
+    assert_eq!(peers.heard(&report("b", 1, 4), now), ReportOrder::Stale);
+    assert_eq!(peers.heard(&report("b", 2, 1), now), ReportOrder::Newest);
+    assert_eq!(peers.host_count(), 2);
+    assert!(peers.charge_silence(now + millis(500)).is_empty());
+    let silent = peers.charge_silence(now + millis(2000));
+    assert_eq!(silent[0].2, millis(2000));
+    assert_eq!(peers.charge_silence(now + millis(2500))[0].2, millis(500));
+    let leaving = HostReport {
+        leaving: true,
+        ..report("b", 2, u64::MAX)
+    };
+    peers.heard(&leaving, now + millis(2500));
+    assert_eq!(peers.host_count(), 1);
+}
+
+/// Guards against forgetting hosts that are heard but not registered yet, and keeping those that are gone.
+#[test]
+fn registration_adds_and_removes_hosts() {
+    let now = Instant::now();
+    let mut peers = PeerBook::default();
+    let registration = Registration {
+        host: "b".into(),
+        address: "127.0.0.1:9".parse().expect("address"),
+        incarnation: 1,
+    };
+    assert!(peers.registered(&[registration], now).is_empty());
+    assert_eq!(peers.host_count(), 2);
+    peers.heard(&report("c", 1, 1), now + millis(2000));
+    let gone = peers.registered(&[], now + millis(2000));
+    assert_eq!(gone, vec![HostId::from("b")]);
+    assert_eq!(peers.host_count(), 2);
+}
+
+proptest! {
+    /// Guards against retries above this host's part of what all hosts may make, in any window.
+    #[test]
+    fn retries_stay_within_the_share(steps in prop::collection::vec((1u64..200, any::<bool>()), 1..400)) {
+        let bounds = RetryBounds { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10), used: 0.8 };
+        let share = RetryShare::new(bounds.clone());
+        let service: ModelId = "desk".into();
+        let start = Instant::now();
+        let (mut at, mut requests, mut retries) = (start, Vec::new(), Vec::new());
+        for (gap, is_request) in steps {
+            at += millis(gap);
+            if is_request {
+                share.count_request(&service, at);
+                requests.push(at);
+            } else if share.take(&service, 7, at) {
+                retries.push(at);
+            }
+        }
+        for end in &retries {
+            let within = |times: &[Instant]| times.iter().filter(|t| **t <= *end && end.duration_since(**t) <= bounds.window).count();
+            let allowed = bounds.ratio * within(&requests) as f64 + bounds.slack / 7.0;
+            prop_assert!(within(&retries) as f64 <= allowed, "{} {allowed}", within(&retries));
+        }
+    }
+
+    /// Guards against a line that forgets requests or serves one twice.
+    #[test]
+    fn line_serves_each_request_once(targets in prop::collection::vec((0u8..4, 0u64..2000), 1..60)) {
+        let now = Instant::now();
+        let mut line = Line::default();
+        for (priority, until) in &targets {
+            line.enter(Waiter { priority: *priority, on_time_until: now + millis(*until), tokens: 1 });
+        }
+        let mut served = std::collections::HashSet::new();
+        while let Some(head) = line.head(now + millis(1000)) {
+            prop_assert!(served.insert(head));
+            line.leave(head);
+        }
+        prop_assert_eq!(served.len(), targets.len());
+    }
+}
--- /dev/null
+++ b/tests/suite/forward_path.rs
@@ -0,0 +1,355 @@
+//! The whole path of a forwarded request, against stand-ins that speak the platform's protocol.
+
+use std::time::Duration;
+
+use crate::platform_stand_in::{
+    Behaviour, EVENTS, HOST, KEY, Platform, configuration, event, wait_until,
+};
+
+/// Guards against a host that answers 404 or 401 before it knows what is configured.
+#[tokio::test]
+async fn no_configuration_is_503_with_retry_after() {
+    let platform = Platform::start_unconfigured().await;
+    let answer = platform.call("POST", "/book/1").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(platform.seen_by("").is_empty());
+}
+
+/// Guards against requests that reach upstreams without route or key, and upstreams that see a key.
+#[tokio::test]
+async fn route_key_and_customer_are_checked() {
+    let platform = Platform::start().await;
+    assert_eq!(platform.call("GET", "/unknown/1").await.status, 404);
+    let mut req = platform.request("GET", "/read/1");
+    req.headers_mut()
+        .insert("host", "other.example".parse().expect("value"));
+    assert_eq!(platform.send(req).await.status, 404);
+    let mut req = platform.request("GET", "/read/1");
+    req.headers_mut()
+        .insert("authorization", "Token wrong".parse().expect("value"));
+    assert_eq!(platform.send(req).await.status, 401);
+    assert!(platform.seen_by("").is_empty());
+
+    let mut req = platform.request("GET", "/read/1?x=2");
+    for name in [
+        "x-tenant",
+        "x-expect-instance",
+        "x-kv-source",
+        "x-stage",
+        "x-kv-hold",
+        "x-pin-ms",
+        "x-kv-backup",
+    ] {
+        req.headers_mut()
+            .insert(name, "forged".parse().expect("value"));
+    }
+    assert_eq!(platform.send(req).await.status, 200);
+    let seen = platform.seen_by("s");
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].line, "GET /read/1?x=2");
+    assert_eq!(seen[0].header("host"), Some(HOST));
+    assert_eq!(seen[0].header("x-tenant"), Some("coast"));
+    assert_eq!(
+        seen[0].header("x-expect-instance"),
+        Some(seen[0].runner.as_str())
+    );
+    let text = format!("{:?}", seen[0].headers);
+    assert!(!text.contains(KEY) && !text.contains("forged"), "{text}");
+}
+
+/// Guards against open routes that need a key.
+#[tokio::test]
+async fn longest_prefix_wins_and_open_routes_need_no_key() {
+    let platform = Platform::start().await;
+    let mut req = platform.request("GET", "/read/open/1");
+    req.headers_mut().remove("authorization");
+    assert_eq!(platform.send(req).await.status, 200);
+    assert_eq!(platform.seen_by("s")[0].header("x-tenant"), None);
+}
+
+/// Guards against answers that are changed on their way.
+#[tokio::test]
+async fn answer_passes_with_status_and_signature() {
+    let platform = Platform::start().await;
+    let answer = platform.call("POST", "/book/1").await;
+    let seen = platform.seen_by("s");
+    assert_eq!(
+        (answer.status, answer.body.as_str()),
+        (200, format!("done by {}", seen[0].runner).as_str())
+    );
+    assert_eq!(answer.headers["x-server-stamp"], seen[0].runner);
+    assert_eq!(&seen[0].body[..], b"a body");
+    platform.runner("s-0").behave(Behaviour::Fail);
+    platform.runner("s-1").behave(Behaviour::Fail);
+    let answer = platform.call("POST", "/book/1").await;
+    assert_eq!(answer.status, 500);
+    assert!(answer.headers.contains_key("x-server-stamp"));
+}
+
+/// Guards against a deadline that grows on its way.
+#[tokio::test]
+async fn upstream_gets_the_time_that_is_left() {
+    let platform = Platform::start().await;
+    platform.call("GET", "/read/1").await;
+    let seen = platform.seen_by("s");
+    let left: u64 = seen[0]
+        .header("x-deadline-ms")
+        .expect("deadline")
+        .parse()
+        .expect("number");
+    assert!(left <= 2000 && left > 1000, "{left}");
+}
+
+/// Guards against a call that runs twice because its answer was lost, and one that is called not run although it may have.
+#[tokio::test]
+async fn call_that_must_run_once_is_never_repeated_after_it_may_have_run() {
+    for behaviour in [
+        Behaviour::LoseAnswer,
+        Behaviour::VagueRefusal,
+        Behaviour::OtherId,
+        Behaviour::Unsigned,
+        Behaviour::Truncate,
+    ] {
+        let platform = Platform::start().await;
+        platform.runner("s-0").behave(behaviour);
+        platform.runner("s-1").behave(behaviour);
+        let answer = platform.call("POST", "/book/1").await;
+        assert_eq!(answer.status, 502, "{behaviour:?}");
+        assert!(
+            !answer.headers.contains_key("x-server-stamp"),
+            "{behaviour:?}"
+        );
+        assert_eq!(platform.seen_by("s").len(), 1, "{behaviour:?}");
+    }
+}
+
+/// Guards against giving up on a call that certainly did not run.
+#[tokio::test]
+async fn refused_call_goes_to_another_upstream() {
+    for behaviour in [Behaviour::Shed, Behaviour::OtherInstance] {
+        let platform = Platform::start().await;
+        platform.runner("s-0").behave(behaviour);
+        for _ in 0..4 {
+            assert_eq!(
+                platform.call("POST", "/book/1").await.status,
+                200,
+                "{behaviour:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a refusal that holds its caller, or that does not say when to come back.
+#[tokio::test]
+async fn call_that_no_upstream_takes_is_refused_at_once() {
+    let platform = Platform::start().await;
+    platform.runner("s-0").behave(Behaviour::Shed);
+    platform.runner("s-1").behave(Behaviour::Shed);
+    let started = std::time::Instant::now();
+    let answer = platform.call("POST", "/book/1").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(answer.body.contains("not_run"), "{}", answer.body);
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
+
+/// Guards against idempotent calls that fail although another upstream could run them.
+#[tokio::test]
+async fn idempotent_call_is_repeated_at_another_upstream() {
+    for behaviour in [
+        Behaviour::LoseAnswer,
+        Behaviour::Truncate,
+        Behaviour::OtherId,
+        Behaviour::Fail,
+        Behaviour::Hang,
+    ] {
+        let platform = Platform::start().await;
+        platform.runner("s-0").behave(behaviour);
+        for _ in 0..3 {
+            assert_eq!(
+                platform.call("GET", "/read/1").await.status,
+                200,
+                "{behaviour:?}"
+            );
+        }
+    }
+}
+
+/// Guards against retries beyond the attempts that the route allows.
+#[tokio::test]
+async fn route_bounds_the_attempts() {
+    let platform = Platform::start().await;
+    let mut document = configuration(2);
+    document["routes"][3]["maxAttempts"] = 1.into();
+    platform.configure(&document).await;
+    platform.runner("s-0").behave(Behaviour::Fail);
+    platform.runner("s-1").behave(Behaviour::Fail);
+    // Either version allows the first attempt; the second one is allowed by the older version only.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(platform.call("GET", "/read/1").await.status, 500);
+    assert_eq!(platform.seen_by("s").len(), 1);
+}
+
+/// Guards against answers later than the route's timeout.
+#[tokio::test]
+async fn timeout_of_the_route_ends_a_call() {
+    let platform = Platform::start().await;
+    let mut document = configuration(2);
+    document["routes"][2]["timeoutMs"] = 300.into();
+    platform.configure(&document).await;
+    platform.runner("s-0").behave(Behaviour::Hang);
+    platform.runner("s-1").behave(Behaviour::Hang);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let started = std::time::Instant::now();
+    assert_eq!(platform.call("POST", "/book/1").await.status, 504);
+    assert!(started.elapsed() < Duration::from_millis(800));
+}
+
+fn whole_stream() -> String {
+    (0..EVENTS).map(event).collect()
+}
+
+/// Guards against streams whose prompt is not prefilled apart, or whose prefilled prompt is lost.
+#[tokio::test]
+async fn stream_is_prefilled_at_one_engine_and_decoded_at_another() {
+    let platform = Platform::start().await;
+    let answer = platform.call("POST", "/text/1").await;
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.body, whole_stream());
+    let (prefill, decode) = (platform.seen_by("p"), platform.seen_by("d"));
+    assert_eq!((prefill.len(), decode.len()), (1, 1));
+    assert_eq!(prefill[0].header("x-stage"), Some("prefill"));
+    let source = decode[0].header("x-kv-source").expect("source");
+    assert!(
+        source.ends_with(&format!("/h-{}", prefill[0].runner)),
+        "{source}"
+    );
+    assert_eq!(answer.headers["x-server-stamp"], decode[0].runner);
+}
+
+/// Guards against refusing streams because no engine prefills.
+#[tokio::test]
+async fn decode_engine_prefills_where_no_other_does() {
+    let platform = Platform::start().await;
+    platform.runner("p-0").behave(Behaviour::Shed);
+    platform.runner("p-1").behave(Behaviour::LoseAnswer);
+    let answer = platform.call("POST", "/text/1").await;
+    assert_eq!((answer.status, answer.body), (200, whole_stream()));
+    assert_eq!(platform.seen_by("d")[0].header("x-kv-source"), None);
+}
+
+/// Guards against prefilled prompts that stay in an engine's memory after no decode engine took them.
+#[tokio::test]
+async fn prompt_that_is_not_taken_is_freed() {
+    let platform = Platform::start().await;
+    platform.runner("d-0").behave(Behaviour::Shed);
+    platform.runner("d-1").behave(Behaviour::Shed);
+    assert_eq!(platform.call("POST", "/text/1").await.status, 503);
+    wait_until("prompt is freed", || {
+        let seen = platform.seen_by("p");
+        seen.iter()
+            .any(|seen| seen.line.starts_with("DELETE /api/kv-handle/h-p"))
+    })
+    .await;
+}
+
+/// Guards against a broken stream that looks complete, and against a second run of it.
+#[tokio::test]
+async fn stream_that_breaks_off_never_looks_complete() {
+    let platform = Platform::start().await;
+    platform.runner("d-0").behave(Behaviour::Truncate);
+    platform.runner("d-1").behave(Behaviour::Truncate);
+    let answer = platform.call("POST", "/text/1").await;
+    assert!(!answer.whole, "{answer:?}");
+    assert_eq!(platform.seen_by("d").len(), 1);
+}
+
+/// Guards against missing, repeated or mixed events when another engine continues a stream.
+#[tokio::test]
+async fn resumable_stream_continues_after_its_last_whole_event() {
+    let platform = Platform::start().await;
+    platform.runner("d-0").behave(Behaviour::Truncate);
+    for _ in 0..4 {
+        let answer = platform.call("POST", "/long/1").await;
+        assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+        assert_eq!(answer.body, whole_stream());
+    }
+    let resumed = platform
+        .seen_by("d")
+        .into_iter()
+        .filter(|seen| seen.header("last-event-id").is_some());
+    assert!(resumed.count() > 0);
+}
+
+/// Guards against new work for an upstream that said that it leaves.
+#[tokio::test]
+async fn draining_upstream_gets_no_new_work() {
+    let platform = Platform::start().await;
+    platform.register("s-0", "draining").await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for _ in 0..6 {
+        assert_eq!(platform.call("POST", "/book/1").await.status, 200);
+    }
+    assert!(platform.seen_by("s-0").is_empty());
+}
+
+/// Guards against a configuration that is taken over late, and against one that can't be read replacing a good one.
+#[tokio::test]
+async fn newer_configuration_is_in_force_and_an_unreadable_one_is_not() {
+    let platform = Platform::start().await;
+    let mut document = configuration(2);
+    document["tenants"][0]["apiKeys"] = serde_json::json!(["another"]);
+    platform.configure(&document).await;
+    let mut status = 200;
+    for _ in 0..100 {
+        status = platform.call("POST", "/book/1").await.status;
+        if status == 401 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(status, 401);
+    let mut unreadable = configuration(3);
+    unreadable["routes"][0]["kind"] = "new".into();
+    platform.configure(&unreadable).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let mut req = platform.request("POST", "/book/1");
+    req.headers_mut()
+        .insert("authorization", "Token another".parse().expect("value"));
+    assert_eq!(platform.send(req).await.status, 200);
+}
+
+/// Guards against a stop that breaks requests under way.
+#[tokio::test]
+async fn drain_finishes_open_requests() {
+    let mut platform = Platform::start().await;
+    let host = platform.host.take().expect("host runs");
+    let answer = platform.call("POST", "/text/1");
+    let (answer, ()) = tokio::join!(answer, async {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        host.drain().await;
+    });
+    assert_eq!((answer.status, answer.whole), (200, true));
+}
+
+/// Guards against requests that the platform's callers never send: no id, two ids, unreadable numbers.
+#[tokio::test]
+async fn malformed_heads_are_refused() {
+    let platform = Platform::start().await;
+    for (name, value) in [
+        ("x-token-counts", "many"),
+        ("x-deadline-ms", "-5"),
+        ("x-request-id", ""),
+    ] {
+        let mut req = platform.request("GET", "/read/1");
+        req.headers_mut()
+            .insert(name, value.parse().expect("value"));
+        assert_eq!(platform.send(req).await.status, 400, "{name}");
+    }
+    let mut req = platform.request("GET", "/read/1");
+    req.headers_mut()
+        .append("x-request-id", "second".parse().expect("value"));
+    assert_eq!(platform.send(req).await.status, 400);
+    assert!(platform.seen_by("").is_empty());
+}
--- /dev/null
+++ b/tests/suite/platform_stand_in.rs
@@ -0,0 +1,590 @@
+//! Stand-ins that speak the platform's protocol: the store, engines and plain services, and a caller.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Frame;
+use serde_json::{Value, json};
+
+use hibiscusspread::emulator::http::{
+    Body, EmulatorServer, Handler, WholeRequest, any_loopback, bytes, json as answer_json,
+    stream as answer_stream,
+};
+use hibiscusspread::emulator::store::MemoryStore;
+use hibiscusspread::platform;
+use hibiscusspread::prelude::*;
+use hibiscusspread::process::forwarding::host::ForwardHost;
+use hibiscusspread::process::forwarding::settings::ForwardingSettings;
+use hibiscusspread::process::settings::{PeerSettings, Settings};
+use hibiscusspread::process::shard::lock;
+
+/// The key of the stand-in's customer.
+pub const KEY: &str = "k-1f9c";
+
+/// The host name of all routes.
+pub const HOST: &str = "desk.example";
+
+/// The store's HTTP interface over a store in memory.
+struct StoreApi(Arc<MemoryStore>);
+
+fn query(req: &WholeRequest, name: &str) -> Option<String> {
+    let query = req.uri().query()?;
+    let value = query.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then_some(value)
+    })?;
+    let decoded = percent_encoding::percent_decode_str(value).decode_utf8();
+    Some(decoded.expect("query is UTF-8").into_owned())
+}
+
+fn item(entry: &StoreEntry) -> Value {
+    json!({ "key": entry.key, "value": BASE64.encode(&entry.value), "revision": entry.revision, "created": 1, "lease": 0 })
+}
+
+fn failed(e: &StoreError) -> Option<Response<Body>> {
+    Some(match e {
+        StoreError::Conflict { current } => {
+            let items: Vec<_> = current
+                .iter()
+                .map(|revision| json!({ "key": "k", "value": "", "revision": revision }))
+                .collect();
+            answer_json(412, &json!({ "items": items }))
+        }
+        StoreError::Throttled { .. } => answer_json(429, &json!({})),
+        StoreError::LeaseGone => answer_json(404, &json!({})),
+        StoreError::Compacted => answer_json(410, &json!({})),
+        StoreError::Unknown { .. } => return None,
+        StoreError::Unavailable { .. } | StoreError::TooLarge { .. } => {
+            answer_json(503, &json!({}))
+        }
+    })
+}
+
+impl StoreApi {
+    async fn run(&self, req: &WholeRequest) -> Result<Value, StoreError> {
+        let prefix = query(req, "pathPrefix").unwrap_or_default();
+        let path = req.uri().path();
+        let body: Value = serde_json::from_slice(req.body()).unwrap_or_default();
+        if let Some(lease) = path.strip_prefix("/api/kv-keep/") {
+            self.0.renew_lease(lease.parse().expect("lease")).await?;
+            return Ok(json!({ "ttlMs": 1000 }));
+        }
+        Ok(match path {
+            "/api/kv-range" => {
+                let entries = self.0.list(&prefix).await?;
+                let as_of = entries
+                    .iter()
+                    .map(|entry| entry.revision)
+                    .max()
+                    .unwrap_or_default();
+                let items: Vec<_> = entries.iter().map(item).collect();
+                json!({ "items": items, "truncated": false, "asOf": as_of })
+            }
+            "/api/kv-watch" => {
+                let number = |name| {
+                    query(req, name)
+                        .and_then(|text| text.parse().ok())
+                        .unwrap_or_default()
+                };
+                let (after, wait) = (number("after"), Duration::from_millis(number("waitMs")));
+                let changes = self.0.watch(&prefix, after, wait).await?;
+                let as_of = changes
+                    .iter()
+                    .map(StoreChange::revision)
+                    .max()
+                    .unwrap_or(after);
+                let events = changes.iter().map(|change| match change {
+                    StoreChange::Put(entry) => item(entry),
+                    StoreChange::Deleted { key, revision } => {
+                        json!({ "key": key, "revision": revision, "deleted": true })
+                    }
+                });
+                json!({ "events": events.collect::<Vec<_>>(), "asOf": as_of })
+            }
+            "/api/kv-lease" => {
+                let ttl = Duration::from_millis(body["ttlMs"].as_u64().expect("ttlMs"));
+                json!({ "lease": self.0.grant_lease(ttl).await?, "ttlMs": 1000 })
+            }
+            "/api/kv-txn" => {
+                let put = &body["puts"][0];
+                let expected = match body["ifRevision"][0]["revision"].as_u64() {
+                    Some(0) | None => Expected::Absent,
+                    Some(revision) => Expected::At(revision),
+                };
+                let value = BASE64
+                    .decode(put["value"].as_str().expect("value"))
+                    .expect("base64");
+                let lease = put["lease"].as_u64().filter(|lease| *lease > 0);
+                let key = put["key"].as_str().expect("key");
+                json!({ "revision": self.0.swap(key, expected, value, lease).await? })
+            }
+            other => panic!("unexpected call {other}"),
+        })
+    }
+}
+
+#[async_trait]
+impl Handler for StoreApi {
+    async fn answer(&self, req: WholeRequest) -> Option<Response<Body>> {
+        match self.run(&req).await {
+            Ok(value) => Some(answer_json(200, &value)),
+            Err(e) => failed(&e),
+        }
+    }
+}
+
+/// How a runner treats the requests that it gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Behaviour {
+    /// It runs them.
+    Run,
+    /// It refuses them and says so.
+    Shed,
+    /// It refuses them without saying that they did not run.
+    VagueRefusal,
+    /// It runs them and breaks the connection instead of an answer.
+    LoseAnswer,
+    /// It answers with the id of another request.
+    OtherId,
+    /// It answers without a signature.
+    Unsigned,
+    /// Its answer ends before its stated length, or a stream after three events.
+    Truncate,
+    /// It fails by itself.
+    Fail,
+    /// It answers that another runner has its address.
+    OtherInstance,
+    /// It never answers.
+    Hang,
+}
+
+/// A request as a runner saw it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// The runner.
+    pub runner: String,
+    /// The method and path.
+    pub line: String,
+    /// The headers.
+    pub headers: http::HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Seen {
+    /// Returns a header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// What all runners of a stand-in saw.
+pub type SeenLog = Arc<Mutex<Vec<Seen>>>;
+
+/// A runner of a plain service or an engine.
+pub struct Runner {
+    id: String,
+    behaviour: Mutex<Behaviour>,
+    seen: SeenLog,
+}
+
+/// The events of a whole stream.
+pub const EVENTS: usize = 8;
+
+/// Returns the text of one event.
+pub fn event(no: usize) -> String {
+    format!("id: {no}\ndata: token {no}\n\n")
+}
+
+impl Runner {
+    /// Changes how it treats requests.
+    pub fn behave(&self, behaviour: Behaviour) {
+        *lock(&self.behaviour) = behaviour;
+    }
+
+    fn stream(&self, req: &WholeRequest, behaviour: Behaviour) -> Response<Body> {
+        let last = req
+            .headers()
+            .get("last-event-id")
+            .and_then(|v| v.to_str().ok());
+        let first = last.map_or(0, |last| last.parse::<usize>().expect("event id") + 1);
+        let broken = behaviour == Behaviour::Truncate;
+        let end = if broken { first + 3 } else { EVENTS };
+        let mut chunks: Vec<_> = (first..end)
+            .map(|no| Ok(Frame::data(Bytes::from(event(no)))))
+            .collect();
+        if broken {
+            // The start of one more event, whose rest never comes.
+            chunks.push(Ok(Frame::data(Bytes::from("id: 99\nda"))));
+            chunks.push(Err(std::io::Error::other("crashed")));
+        }
+        let paced = stream::iter(chunks).then(|chunk| async {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            chunk
+        });
+        self.sign(req, answer_stream(paced))
+    }
+
+    fn sign(&self, req: &WholeRequest, mut response: Response<Body>) -> Response<Body> {
+        let headers = response.headers_mut();
+        if let Some(id) = req.headers().get("x-request-id") {
+            headers.insert("x-request-id", id.clone());
+        }
+        headers.insert(
+            "x-server-stamp",
+            self.id.parse().expect("id is a header value"),
+        );
+        response
+    }
+}
+
+#[async_trait]
+impl Handler for Runner {
+    async fn answer(&self, req: WholeRequest) -> Option<Response<Body>> {
+        lock(&self.seen).push(Seen {
+            runner: self.id.clone(),
+            line: format!("{} {}", req.method(), req.uri()),
+            headers: req.headers().clone(),
+            body: req.body().clone(),
+        });
+        if req.method() == http::Method::DELETE {
+            return Some(answer_json(200, &json!({})));
+        }
+        let behaviour = *lock(&self.behaviour);
+        let status = |status: u16, header: Option<(&'static str, &str)>| {
+            let mut response = bytes(Bytes::new());
+            *response.status_mut() = status.try_into().expect("status");
+            if let Some((name, value)) = header {
+                response
+                    .headers_mut()
+                    .insert(name, value.parse().expect("value"));
+            }
+            Some(response)
+        };
+        match behaviour {
+            Behaviour::Shed => return status(503, Some(("x-not-run", "1"))),
+            Behaviour::VagueRefusal => return status(503, None),
+            Behaviour::OtherInstance => return status(421, Some(("x-instance-id", "i-other"))),
+            Behaviour::LoseAnswer => return None,
+            Behaviour::Hang => std::future::pending().await,
+            _ => {}
+        }
+        if req
+            .headers()
+            .get("x-stage")
+            .is_some_and(|stage| stage == "prefill")
+        {
+            let handle = format!("h-{}", self.id);
+            return Some(answer_json(
+                200,
+                &json!({ "kvHandle": handle, "tokens": 10, "version": 1 }),
+            ));
+        }
+        if req.uri().path().starts_with("/text/") || req.uri().path().starts_with("/long/") {
+            return Some(self.stream(&req, behaviour));
+        }
+        let mut response = self.sign(&req, bytes(Bytes::from(format!("done by {}", self.id))));
+        match behaviour {
+            Behaviour::OtherId => {
+                let other = "another".parse().expect("value");
+                response.headers_mut().insert("x-request-id", other);
+            }
+            Behaviour::Unsigned => {
+                response.headers_mut().remove("x-server-stamp");
+            }
+            Behaviour::Fail => *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR,
+            Behaviour::Truncate => {
+                let parts = vec![
+                    Ok(Frame::data(Bytes::from("half"))),
+                    Err(std::io::Error::other("crashed")),
+                ];
+                response = self.sign(&req, answer_stream(stream::iter(parts)));
+            }
+            _ => {}
+        }
+        Some(response)
+    }
+}
+
+/// An answer as the caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: http::HeaderMap,
+    /// The body, as far as it came.
+    pub body: String,
+    /// Whether the body came whole.
+    pub whole: bool,
+}
+
+/// A host before stand-ins for the store, two prefill and two decode engines and two runners of a plain service.
+pub struct Platform {
+    /// The host; taken by tests that stop it.
+    pub host: Option<ForwardHost>,
+    /// The callers' address.
+    pub address: SocketAddr,
+    /// The store.
+    pub store: Arc<MemoryStore>,
+    /// The runners: `p-0`, `p-1`, `d-0`, `d-1`, `s-0`, `s-1`.
+    pub runners: Vec<Arc<Runner>>,
+    /// What the runners saw.
+    pub seen: SeenLog,
+    servers: Vec<EmulatorServer>,
+}
+
+/// The configuration of the stand-in.
+pub fn configuration(version: u64) -> Value {
+    let stream = |name: &str, prefix: &str, resumable: bool| {
+        json!({ "name": name, "hostname": HOST, "pathPrefix": prefix, "kind": "streaming", "timeoutMs": 4000,
+            "targetLatencyMs": 900, "gapTargetMs": 300, "priority": 1, "service": "writers",
+            "maxAttempts": if resumable { 3 } else { 1 }, "public": false, "sticky": true, "resumable": resumable })
+    };
+    let plain = |name: &str, prefix: &str, kind: &str, attempts: u32| {
+        json!({ "name": name, "hostname": HOST, "pathPrefix": prefix, "kind": kind, "timeoutMs": 2000,
+            "targetLatencyMs": 100, "priority": 2, "service": "desk", "maxAttempts": attempts, "public": false })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            stream("text", "/text/", false),
+            stream("long", "/long/", true),
+            plain("book", "/book/", "non_idempotent", 1),
+            plain("read", "/read/", "idempotent", 2),
+            { "name": "open", "hostname": HOST, "pathPrefix": "/read/open/", "kind": "idempotent", "timeoutMs": 2000,
+              "priority": 2, "service": "desk", "maxAttempts": 1, "public": true },
+        ],
+        "services": [
+            { "name": "writers", "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false,
+              "engine": { "slots": 8, "kvCapacityTokens": 50000, "kvTokenBytes": 100, "kvHoldS": 0.5, "models": [{ "name": "m" }] } },
+            { "name": "desk", "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false },
+        ],
+        "limits": { "maxBodyBytes": 1_000_000, "idleTimeoutMs": 15000 },
+        "tenants": [{ "name": "coast", "apiKeys": [KEY], "priority": 1, "unit": "tokens", "plainTokens": 200,
+            "ratePerS": 100_000, "burst": 200_000 }],
+    })
+}
+
+impl Platform {
+    /// Starts the stand-ins and a host, and waits until it is ready.
+    pub async fn start() -> Self {
+        let platform = Self::start_unconfigured().await;
+        platform.configure(&configuration(1)).await;
+        platform.ready().await;
+        platform
+    }
+
+    /// Starts the stand-ins and a host, without a configuration.
+    pub async fn start_unconfigured() -> Self {
+        let store = MemoryStore::new(Arc::new(SystemClock));
+        let api = EmulatorServer::start(any_loopback(), Arc::new(StoreApi(store.clone())));
+        let api = api.await.expect("store starts");
+        let store_address = api.address();
+        let seen = SeenLog::default();
+        let (mut runners, mut servers) = (Vec::new(), vec![api]);
+        for (id, service, stage) in [
+            ("p-0", "writers", Some("prefill")),
+            ("p-1", "writers", Some("prefill")),
+            ("d-0", "writers", Some("decode")),
+            ("d-1", "writers", Some("decode")),
+            ("s-0", "desk", None),
+            ("s-1", "desk", None),
+        ] {
+            let runner = Arc::new(Runner {
+                id: id.to_owned(),
+                behaviour: Mutex::new(Behaviour::Run),
+                seen: seen.clone(),
+            });
+            let server = EmulatorServer::start(any_loopback(), runner.clone()).await;
+            let server = server.expect("runner starts");
+            let entry = entry(service, server.address(), stage, "ready");
+            put(&store, &format!("servers/{id}"), &entry).await;
+            runners.push(runner);
+            servers.push(server);
+        }
+        let settings = Settings {
+            host: "host-1".into(),
+            data_centre: "a".into(),
+            callers_address: any_loopback(),
+            peer: PeerSettings {
+                address: any_loopback(),
+                ..PeerSettings::default()
+            },
+            ..Settings::default()
+        };
+        let forwarding = ForwardingSettings {
+            store_address,
+            directory_interval: Duration::from_millis(50),
+            watch_wait: Duration::from_millis(500),
+            grace: Duration::from_secs(3),
+            drain_delay: Duration::from_millis(200),
+            ..ForwardingSettings::default()
+        };
+        let outside = platform::connect(store_address);
+        let host = ForwardHost::start(settings, forwarding, outside).await;
+        let host = host.expect("host starts");
+        Self {
+            address: host.callers_address,
+            host: Some(host),
+            store,
+            runners,
+            seen,
+            servers,
+        }
+    }
+
+    /// Writes a configuration as the operators do.
+    pub async fn configure(&self, document: &Value) {
+        put(&self.store, "op/config", document).await;
+    }
+
+    /// Writes the registration of a runner anew, as `ready` or `draining`.
+    pub async fn register(&self, id: &str, condition: &str) {
+        let index = self
+            .runners
+            .iter()
+            .position(|runner| runner.id == id)
+            .expect("runner");
+        let service = if id.starts_with('s') {
+            "desk"
+        } else {
+            "writers"
+        };
+        let stage = match &id[..1] {
+            "p" => Some("prefill"),
+            "d" => Some("decode"),
+            _ => None,
+        };
+        let entry = entry(service, self.servers[index + 1].address(), stage, condition);
+        put(&self.store, &format!("servers/{id}"), &entry).await;
+    }
+
+    /// Waits until the host is ready.
+    pub async fn ready(&self) {
+        let host = self.host.as_ref().expect("host runs");
+        wait_until("host is ready", || host.not_ready().is_none()).await;
+    }
+
+    /// Returns a runner.
+    pub fn runner(&self, id: &str) -> &Runner {
+        self.runners
+            .iter()
+            .find(|runner| runner.id == id)
+            .expect("runner")
+    }
+
+    /// Returns what runners whose id begins with `prefix` saw.
+    pub fn seen_by(&self, prefix: &str) -> Vec<Seen> {
+        let seen = lock(&self.seen).clone();
+        seen.into_iter()
+            .filter(|seen| seen.runner.starts_with(prefix))
+            .collect()
+    }
+
+    /// Sends a request with the customer's key.
+    pub async fn call(&self, method: &str, path: &str) -> Answer {
+        self.send(self.request(method, path)).await
+    }
+
+    /// Builds a request with the customer's key.
+    pub fn request(&self, method: &str, path: &str) -> Request<Full<Bytes>> {
+        let id = format!("{:016x}", rand::random::<u64>());
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header("host", HOST)
+            .header("x-request-id", id)
+            .header("x-deadline-ms", "2000")
+            .header("x-model", "m")
+            .header("x-token-counts", "1000,100")
+            .header("authorization", format!("Token {KEY}"))
+            .body(Full::new(Bytes::from("a body")))
+            .expect("request is valid")
+    }
+
+    /// Sends a request.
+    pub async fn send(&self, req: Request<Full<Bytes>>) -> Answer {
+        let (parts, body) = req.into_parts();
+        let address = self.address;
+        let response = send_raw(address, Request::from_parts(parts, body)).await;
+        let (head, mut body) = response.into_parts();
+        let (mut text, mut whole) = (String::new(), true);
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    text.push_str(&String::from_utf8_lossy(&data));
+                }
+                Err(_) => whole = false,
+            }
+        }
+        Answer {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body: text,
+            whole,
+        }
+    }
+}
+
+/// Sends a request over its own connection, with the host name that it states.
+async fn send_raw(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Response<hyper::body::Incoming> {
+    let socket = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("host accepts");
+    let io = hyper_util::rt::TokioIo::new(socket);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io)
+        .await
+        .expect("handshake");
+    tokio::spawn(connection);
+    let (mut parts, body) = req.into_parts();
+    parts.uri = parts
+        .uri
+        .path_and_query()
+        .expect("path")
+        .as_str()
+        .parse()
+        .expect("path");
+    sender
+        .send_request(Request::from_parts(parts, body))
+        .await
+        .expect("host answers")
+}
+
+fn entry(service: &str, address: SocketAddr, stage: Option<&str>, condition: &str) -> Value {
+    json!({ "service": service, "address": address, "zone": "a", "version": "v1", "slots": 8, "state": condition,
+        "coldLeftMs": 0, "stage": stage, "models": [{ "name": "m", "version": 1, "adapters": [] }], "seq": 1, "born": 7 })
+}
+
+async fn put(store: &MemoryStore, key: &str, value: &Value) {
+    let value = serde_json::to_vec(value).expect("JSON");
+    let known = store.get(key).await.expect("store answers");
+    let expected = known.map_or(Expected::Absent, |entry| Expected::At(entry.revision));
+    store
+        .swap(key, expected, value, None)
+        .await
+        .expect("store answers");
+}
+
+/// Waits until something holds, at most 5 s.
+pub async fn wait_until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..500 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("not in time: {what}");
+}
