Close idle connections at the start of a stop, send long streams to other hosts

Idle connections now close at once, streams that are predicted to outlast the grace are refused with a short Retry-After, which is written in fractions of a second, and the grace is used up to its last 0.35 s.

--- a/src/connection/caller_listener.rs
+++ b/src/connection/caller_listener.rs
@@ -26,6 +26,18 @@
 /// The body of an answer to a caller. An error closes the connection, so that the answer never looks complete.
 pub type ResponseBody = UnsyncBoxBody<Bytes, BodyError>;
 
+/// How far a listener has stopped.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// It serves.
+    #[default]
+    Serving,
+    /// Open connections end with the answers under way; new ones are still taken, for callers whom the balancer sends.
+    Closing,
+    /// It takes no new connections.
+    Stopped,
+}
+
 /// Answers callers' requests.
 #[async_trait]
 pub trait CallerHandler: Send + Sync {
@@ -79,18 +91,22 @@
         })
     }
 
-    /// Accepts connections until `stop` turns true, then lets open requests finish.
-    pub async fn serve(self: Arc<Self>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    /// Accepts connections until it is stopped, then lets open requests finish.
+    pub async fn serve(
+        self: Arc<Self>,
+        listener: TcpListener,
+        mut stop: watch::Receiver<StopPhase>,
+    ) {
         let mut open = JoinSet::new();
         loop {
             let permit = tokio::select! {
                 permit = self.connections.clone().acquire_owned() => permit,
-                () = stopped(&mut stop) => break,
+                () = reached(&mut stop, StopPhase::Stopped) => break,
             };
             let Ok(permit) = permit else { break };
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = stopped(&mut stop) => break,
+                () = reached(&mut stop, StopPhase::Stopped) => break,
             };
             match accepted {
                 Ok((socket, peer)) => {
@@ -114,7 +130,7 @@
         self: &Arc<Self>,
         listener: &TcpListener,
         open: &mut JoinSet<()>,
-        stop: &watch::Receiver<bool>,
+        stop: &watch::Receiver<StopPhase>,
     ) {
         while let Ok(permit) = self.connections.clone().try_acquire_owned() {
             let Some(Ok((socket, peer))) = listener.accept().now_or_never() else {
@@ -129,7 +145,7 @@
         open: &mut JoinSet<()>,
         socket: TcpStream,
         peer: SocketAddr,
-        stop: &watch::Receiver<bool>,
+        stop: &watch::Receiver<StopPhase>,
         permit: OwnedSemaphorePermit,
     ) {
         let (front, stop) = (self.clone(), stop.clone());
@@ -143,7 +159,7 @@
         self: Arc<Self>,
         socket: TcpStream,
         peer: SocketAddr,
-        mut stop: watch::Receiver<bool>,
+        mut stop: watch::Receiver<StopPhase>,
     ) {
         if let Err(e) = socket.set_nodelay(true) {
             log::debug!("no TCP_NODELAY for {peer}: {e}");
@@ -159,9 +175,15 @@
             .max_buf_size(self.settings.header_limit.max(8 << 10))
             .serve_connection(CallerIo::new(socket, self.settings.read_timeout), service);
         tokio::pin!(connection);
+        // A connection that is opened while the others close still gets its first request served.
+        let end = if *stop.borrow() == StopPhase::Serving {
+            StopPhase::Closing
+        } else {
+            StopPhase::Stopped
+        };
         let result = tokio::select! {
             result = connection.as_mut() => result,
-            () = stopped(&mut stop) => {
+            () = reached(&mut stop, end) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -172,7 +194,7 @@
     }
 }
 
-/// Waits until the host stops, or its owner is gone.
-async fn stopped(stop: &mut watch::Receiver<bool>) {
-    let _ = stop.wait_for(|stop| *stop).await;
+/// Waits until the listener has stopped as far as `phase`, or its owner is gone.
+async fn reached(stop: &mut watch::Receiver<StopPhase>, phase: StopPhase) {
+    let _ = stop.wait_for(|stop| *stop >= phase).await;
 }
--- a/src/connection/forward/front.rs
+++ b/src/connection/forward/front.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use async_trait::async_trait;
-use http::header::{CONNECTION, HeaderValue};
+use http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
@@ -89,7 +89,7 @@
                 remove_hop_headers(response.headers_mut());
                 response
             }
-            Err(refusal) => self.with_id(&id, refusal_response(&refusal)),
+            Err(refusal) => self.answer_refusal(&id, &refusal),
         }
     }
 
@@ -100,12 +100,21 @@
         refusal: &Refusal,
     ) -> Response<ResponseBody> {
         record.refused(refusal);
-        self.with_id(&head.id, refusal_response(refusal))
+        self.answer_refusal(&head.id, refusal)
     }
 
-    /// Names the request in an answer of the router's own.
-    fn with_id(&self, id: &str, mut response: Response<ResponseBody>) -> Response<ResponseBody> {
-        if let Some((name, value)) = self.cx.codec.request_header(id) {
+    /// Writes an answer of the router's own.
+    fn answer_refusal(&self, id: &str, refusal: &Refusal) -> Response<ResponseBody> {
+        let mut response = refusal_response(refusal);
+        let codec = &self.cx.codec;
+        // Callers that were refused together come back spread over a fifth of their wait.
+        let wait = refusal
+            .retry_after
+            .map(|wait| wait.mul_f64(rand::random_range(1.0..1.2)));
+        if let Some(value) = wait.and_then(|wait| codec.retry_after(wait)) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+        if let Some((name, value)) = codec.request_header(id) {
             response.headers_mut().insert(name, value);
         }
         response
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -41,6 +41,8 @@
     directory: ShardedLock<Directory>,
     peers: Mutex<PeerBook>,
     crashes: Mutex<(CrashBook, Vec<(Instant, CrashReport)>)>,
+    /// When a host that stops cuts off what is still open.
+    end: Mutex<Option<Instant>>,
     /// Wakes the task that reports to other hosts.
     changed: tokio::sync::Notify,
     /// The newest version that any host is known to have in force.
@@ -59,6 +61,7 @@
             directory: ShardedLock::new(Directory::new(settings.directory.clone())),
             peers: Mutex::default(),
             crashes: Mutex::new((CrashBook::new(CRASH_FINGERPRINTS), Vec::new())),
+            end: Mutex::default(),
             changed: tokio::sync::Notify::new(),
             newest: watch::Sender::new(0),
         }
@@ -144,6 +147,16 @@
         news.iter().map(|(_, news)| news.clone()).collect()
     }
 
+    /// Sets the time at which a host that stops cuts off what is still open.
+    pub fn set_end(&self, end: Instant) {
+        *lock(&self.end) = Some(end);
+    }
+
+    /// Returns the time at which the host cuts off what is still open; `None` unless it stops.
+    pub fn end(&self) -> Option<Instant> {
+        *lock(&self.end)
+    }
+
     /// Takes note of a version that another host has in force.
     pub fn note_version(&self, version: Version) {
         self.newest.send_if_modified(|newest| {
--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::connection::caller_listener::{CallerListener, CallerSettings};
+use crate::connection::caller_listener::{CallerListener, CallerSettings, StopPhase};
 use crate::connection::forward::front::ForwardFront;
 use crate::connection::forward::reports::ReportSocket;
 use crate::connection::forward::upstream_pool::{PooledLink, UpstreamPool};
@@ -31,7 +31,7 @@
 use crate::request::forward::flow::ForwardServices;
 
 /// The time before the end of the grace at which a draining host gives up on open requests.
-const GRACE_MARGIN: Duration = Duration::from_millis(700);
+const GRACE_MARGIN: Duration = Duration::from_millis(350);
 
 /// What is added to the least time between the orders of two hosts, for orders under way.
 const ORDER_QUIET_MARGIN: Duration = Duration::from_millis(500);
@@ -75,7 +75,7 @@
     cx: Arc<ForwardServices>,
     exchange: Arc<Exchange>,
     draining: watch::Sender<bool>,
-    stop: watch::Sender<bool>,
+    stop: watch::Sender<StopPhase>,
     serving: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -161,7 +161,7 @@
             ..settings.callers
         };
         let front = ForwardFront::new(cx.clone(), &caller_settings);
-        let (stop, stopped) = watch::channel(false);
+        let (stop, stopped) = watch::channel(StopPhase::Serving);
         let serving = CallerListener::new(front.clone(), caller_settings);
         Ok(Self {
             callers_address,
@@ -188,15 +188,18 @@
         *lock(&self.stop_times) = StopTimes::of(settings);
     }
 
-    /// Ends the host gracefully: it is no longer ready, ends kept connections with their next answer, takes new
+    /// Ends the host gracefully: it is no longer ready, closes kept connections after the answers under way, takes new
     /// connections until the balancer has noticed, and lets open requests finish within the grace.
     pub async fn drain(self) {
+        let times = *lock(&self.stop_times);
+        let open = times.grace.saturating_sub(GRACE_MARGIN);
+        self.cx.state.set_end(self.cx.clock.now() + open);
         self.draining.send_replace(true);
         self.front.start_draining();
-        let times = *lock(&self.stop_times);
+        self.stop.send_replace(StopPhase::Closing);
         tokio::time::sleep(times.drain_delay).await;
-        self.stop.send_replace(true);
-        let left = times.grace.saturating_sub(times.drain_delay + GRACE_MARGIN);
+        self.stop.send_replace(StopPhase::Stopped);
+        let left = open.saturating_sub(times.drain_delay);
         if tokio::time::timeout(left, self.serving).await.is_err() {
             log::warn!(target: "host", "requests still open at the end of the grace are cut off");
         }
--- a/src/process/forwarding/line.rs
+++ b/src/process/forwarding/line.rs
@@ -36,6 +36,8 @@
     waiters: BTreeMap<LineNo, Waiter>,
     /// The moving average of the time for which a request holds its room, in seconds.
     holding: Option<f64>,
+    /// The moving average of the time for each token that a request might generate, in seconds.
+    per_token: Option<f64>,
 }
 
 /// The weight of the newest holding time in the moving average.
@@ -44,6 +46,9 @@
 /// The holding time assumed before any was measured, in seconds.
 const FIRST_HOLDING: f64 = 2.5;
 
+/// The time for a token assumed before any was measured, in seconds.
+const FIRST_PER_TOKEN: f64 = 0.004;
+
 impl Line {
     /// Adds a request.
     pub fn enter(&mut self, waiter: Waiter) -> LineNo {
@@ -95,11 +100,21 @@
         self.waiters.is_empty()
     }
 
-    /// Takes note of the time for which a request held its room.
-    pub fn held(&mut self, time: Duration) {
+    /// Takes note of the time for which a request that might generate `output` tokens held its room.
+    pub fn held(&mut self, time: Duration, output: Tokens) {
         let time = time.as_secs_f64();
-        let old = self.holding.unwrap_or(time);
-        self.holding = Some(old + (time - old) * NEWEST);
+        let average = |old: Option<f64>, new: f64| {
+            let old = old.unwrap_or(new);
+            Some(old + (new - old) * NEWEST)
+        };
+        self.holding = average(self.holding, time);
+        self.per_token = average(self.per_token, time / output.max(1) as f64);
+    }
+
+    /// Predicts the time for which a request that might generate `output` tokens holds its room.
+    pub fn predicted_holding(&self, output: Tokens) -> Duration {
+        let per_token = self.per_token.unwrap_or(FIRST_PER_TOKEN);
+        Duration::try_from_secs_f64(per_token * output as f64).unwrap_or(Duration::MAX)
     }
 
     /// Predicts the wait of a request that enters now: all room is given out once in a holding time, and this host gets
--- a/src/process/forwarding/rooms.rs
+++ b/src/process/forwarding/rooms.rs
@@ -96,9 +96,17 @@
     }
 
     /// Takes note of the time for which a request held its room.
-    pub fn held(&self, service: &ModelId, time: Duration) {
+    pub fn held(&self, service: &ModelId, time: Duration, output: Tokens) {
         let mut services = self.services.lock(service);
-        services.entry(service.clone()).or_default().line.held(time);
+        let waiting = services.entry(service.clone()).or_default();
+        waiting.line.held(time, output);
+    }
+
+    /// Predicts the time for which a request holds its room, see `Line::predicted_holding`.
+    pub fn predicted_holding(&self, service: &ModelId, output: Tokens) -> Duration {
+        let mut services = self.services.lock(service);
+        let waiting = services.entry(service.clone()).or_default();
+        waiting.line.predicted_holding(output)
     }
 
     /// Tells whether a request waits that can still meet its target.
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -69,7 +69,7 @@
             report_delay_per_host: Duration::from_millis(1),
             report_interval: Duration::from_millis(500),
             grace: Duration::from_secs(8),
-            drain_delay: Duration::from_millis(2500),
+            drain_delay: Duration::from_millis(2300),
             retries: RetryBounds::default(),
             requests: ForwardSettings::default(),
             selection: SelectionSettings::default(),
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinHandle;
 
 use crate::connection::caller::CallerFront;
-use crate::connection::caller_listener::CallerListener;
+use crate::connection::caller_listener::{CallerListener, StopPhase};
 use crate::connection::operator::{self, OperatorView};
 use crate::connection::probe::HttpProbe;
 use crate::connection::service::HttpUpstreams;
@@ -51,7 +51,7 @@
     clock: Arc<dyn Clock>,
     drain_delay: Duration,
     fleet: Option<Arc<FleetLink>>,
-    stop: watch::Sender<bool>,
+    stop: watch::Sender<StopPhase>,
     front: JoinHandle<()>,
     upkeep: JoinHandle<()>,
     requests: Arc<Services>,
@@ -90,7 +90,7 @@
             Some(address) => Some(start_operators(address, &cx, fleet.as_ref())?),
             None => None,
         };
-        let (stop, stopped) = watch::channel(false);
+        let (stop, stopped) = watch::channel(StopPhase::Serving);
         let handler = CallerFront::new(cx.clone(), &settings.callers);
         let front = CallerListener::new(handler, settings.callers);
         Ok(Self {
@@ -139,7 +139,7 @@
             // The balancer needs time to see that the host is not ready.
             tokio::time::sleep(self.drain_delay).await;
         }
-        self.stop.send_replace(true);
+        self.stop.send_replace(StopPhase::Stopped);
         if let Err(e) = self.front.await {
             log::error!("caller front ended early: {e}");
         }
--- a/src/request/forward/codec.rs
+++ b/src/request/forward/codec.rs
@@ -1,5 +1,7 @@
 //! The border to the encodings of forwarded requests.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, request, response};
 use http_body_util::Full;
@@ -45,6 +47,9 @@
     /// Returns the path at which a DELETE frees a prefilled prompt.
     fn release_path(&self, handle: &str) -> String;
 
+    /// Writes the time after which a caller may repeat a refused request.
+    fn retry_after(&self, wait: Duration) -> Option<HeaderValue>;
+
     /// Returns the header that names the request in an answer.
     fn request_header(&self, id: &str) -> Option<(HeaderName, HeaderValue)>;
 
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -28,6 +28,9 @@
 /// The prefills tried before the decode engine is asked to run the prompt itself.
 const MAX_PREFILLS: u32 = 3;
 
+/// The wait that is told to callers of a host that stops: others take their requests at once.
+const STOP_RETRY: Duration = Duration::from_millis(50);
+
 /// The time for the call that frees a prefilled prompt; it lapses by itself about as soon.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -135,6 +138,7 @@
         retries: 0,
         runs: 0,
     };
+    generation.check_end()?;
     let room = generation.wait_for_room(record).await?;
     let mut ready = if room.prefills() {
         None
@@ -193,7 +197,8 @@
     /// Takes note that the request held its room since `since`.
     pub fn note_held(&self, since: Instant) {
         let held = self.cx.clock.now().saturating_duration_since(since);
-        self.cx.state.rooms.held(&self.service, held);
+        let rooms = &self.cx.state.rooms;
+        rooms.held(&self.service, held, self.output_tokens());
     }
 
     /// Tells whether another engine may be tried.
@@ -207,6 +212,32 @@
         self.call.head.tokens.map_or(0, |tokens| tokens.prompt)
     }
 
+    fn output_tokens(&self) -> Tokens {
+        self.call.head.tokens.map_or(0, |tokens| tokens.output)
+    }
+
+    /// Refuses a stream that would be cut off by the end of a stop. Its caller reaches another host at once.
+    fn check_end(&self) -> Result<(), Refusal> {
+        let Some(end) = self.cx.state.end() else {
+            return Ok(());
+        };
+        let rooms = &self.cx.state.rooms;
+        let holding = rooms.predicted_holding(&self.service, self.output_tokens());
+        let left = end.saturating_duration_since(self.cx.clock.now());
+        if holding < left {
+            return Ok(());
+        }
+        let message =
+            "host stops before the answer would be whole; repeat at once, on a new connection";
+        let figures = format!(
+            "predicted={}ms left={}ms",
+            holding.as_millis(),
+            left.as_millis()
+        );
+        let refusal = Refusal::not_run(RefusalKind::Unavailable, message).with_figures(figures);
+        Err(refusal.after(STOP_RETRY))
+    }
+
     /// Returns the engine memory that the request is counted with.
     fn memory_tokens(&self) -> Tokens {
         self.call.head.tokens.map_or(0, TokenCounts::memory)
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -254,7 +254,7 @@
 fn predicted_wait_grows_with_the_line() {
     let now = Instant::now();
     let mut line = Line::default();
-    line.held(millis(4000));
+    line.held(millis(4000), 1000);
     let short = line.predicted_wait(5000, 500_000, 5);
     for _ in 0..20 {
         line.enter(Waiter {
@@ -271,6 +271,21 @@
     assert_eq!(line.predicted_wait(5000, 0, 5), Duration::MAX);
 }
 
+/// Guards against streams that a stopping host takes although they would outlast it.
+#[test]
+fn predicted_holding_follows_the_output() {
+    let mut line = Line::default();
+    assert_eq!(line.predicted_holding(1000), millis(4000));
+    for _ in 0..50 {
+        line.held(millis(3000), 1000);
+    }
+    let predicted = line.predicted_holding(2000);
+    assert!(
+        predicted > millis(5900) && predicted < millis(6100),
+        "{predicted:?}"
+    );
+}
+
 /// Guards against a division of engines that starves one side, and against orders without need.
 #[test]
 fn surplus_prefill_engines_change_to_decode() {
