Spread choices at random, share news of leaving upstreams, read the store less

The calls that other hosts have not reported yet are spread at random over the candidates; a second engine is asked to fetch a prompt before one reads it again; hosts report upstreams that leave, and each reads the list less often the more others are heard; empty watches of the hosts no longer lead to a read.

--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -49,12 +49,15 @@
     /// The time after the store's return for which a missing entry means nothing: registrations that lapsed
     /// during the outage are back within about two seconds.
     pub return_grace: Duration,
+    /// The time for which other hosts are told of an upstream that left: longer than they take to read the list by themselves.
+    pub news_ttl: Duration,
 }
 
 impl Default for DirectorySettings {
     fn default() -> Self {
         Self {
             return_grace: Duration::from_millis(2200),
+            news_ttl: Duration::from_secs(4),
         }
     }
 }
@@ -81,6 +84,8 @@
     returned: Option<Instant>,
     /// When the last list was read.
     listed: Option<Instant>,
+    /// The upstreams that left lately by the own list, to tell other hosts.
+    news: Vec<(Instant, UpstreamId, u64)>,
 }
 
 impl Directory {
@@ -139,6 +144,13 @@
         }
         self.instances = next;
         self.listed = Some(asked);
+        self.news
+            .retain(|(at, _, _)| asked.saturating_duration_since(*at) < self.settings.news_ttl);
+        let news = change
+            .left
+            .iter()
+            .map(|left| (asked, left.id.clone(), left.born));
+        self.news.extend(news);
         self.index();
         change
     }
@@ -155,6 +167,32 @@
         }
     }
 
+    /// Takes over that another host found an upstream to have left; the next own list decides anew. Tells whether it was news.
+    pub fn note_left(&mut self, id: &UpstreamId, born: u64) -> bool {
+        let known = self
+            .instances
+            .get(id)
+            .filter(|known| known.born == born && !known.draining);
+        let Some(known) = known else {
+            return false;
+        };
+        let left = Instance {
+            draining: true,
+            ..(**known).clone()
+        };
+        self.instances.insert(id.clone(), Arc::new(left));
+        self.index();
+        true
+    }
+
+    /// Returns the upstreams that left lately.
+    pub fn left(&self) -> Vec<(UpstreamId, u64)> {
+        self.news
+            .iter()
+            .map(|(_, id, born)| (id.clone(), *born))
+            .collect()
+    }
+
     /// Returns when the list was read last; `None` if it never was.
     pub fn listed(&self) -> Option<Instant> {
         self.listed
--- a/src/process/forwarding/exchange.rs
+++ b/src/process/forwarding/exchange.rs
@@ -7,6 +7,7 @@
 use async_trait::async_trait;
 
 use crate::prelude::*;
+use crate::process::forwarding::directory::Directory;
 use crate::process::forwarding::fleet::FleetState;
 use crate::process::forwarding::peers::{HostReport, ReportOrder};
 use crate::process::forwarding::usage::Reporter;
@@ -82,6 +83,7 @@
             leaving,
             granted: self.state.usage.granted_since(since),
             work: self.state.loads.own_work(),
+            left: self.state.with_directory(Directory::left),
             has_on_time: self.state.rooms.has_on_time(now),
             crashes: self.state.crash_news(now),
         };
@@ -116,6 +118,7 @@
             self.state.note_crash(crash, false, now);
         }
         self.state.note_version(report.version);
+        self.state.note_left(&report.left);
         self.state.rooms.changed(now);
         if report.leaving {
             self.state.usage.forget(&report.host);
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -102,6 +102,16 @@
         change
     }
 
+    /// Takes over that another host found upstreams to have left.
+    pub fn note_left(&self, left: &[(UpstreamId, u64)]) {
+        for (id, born) in left {
+            let is_news = self.change_directory(|d| d.note_left(id, *born));
+            if is_news {
+                log::info!(target: "upstream", "{id} leaves, as another host reports; no new work");
+            }
+        }
+    }
+
     /// Takes note that the list of upstreams could not be read.
     pub fn list_failed(&self) {
         self.change_directory(Directory::read_failed);
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -32,6 +32,8 @@
     pub granted: Vec<(CustomerId, Granted)>,
     /// The work that it has given to upstreams.
     pub work: Vec<(UpstreamId, Work)>,
+    /// The upstreams that it found to have left lately, each with its start.
+    pub left: Vec<(UpstreamId, u64)>,
     /// Whether a request waits there for room that can still meet its target.
     pub has_on_time: bool,
     /// The requests that broke off with their upstream lately.
@@ -189,6 +191,12 @@
         heard.map(|(host, _)| host).min().cloned()
     }
 
+    /// Returns the number of other hosts that are not silent.
+    pub fn heard_count(&self, now: Instant) -> usize {
+        let is_heard = |peer: &&Peer| now.saturating_duration_since(peer.heard) < SILENT_AFTER;
+        self.peers.values().filter(is_heard).count()
+    }
+
     /// Returns the number of all hosts with this one.
     pub fn host_count(&self) -> usize {
         self.peers.len() + 1
--- a/src/process/forwarding/selection.rs
+++ b/src/process/forwarding/selection.rs
@@ -31,6 +31,8 @@
     pub near: DataCentreId,
     /// The tokens that fit into one engine; 0 for plain services.
     pub kv_tokens: Tokens,
+    /// The hosts that choose at the same time.
+    pub hosts: usize,
 }
 
 /// An upstream to choose from.
@@ -65,6 +67,9 @@
     pub transfer_distance: Duration,
     /// The part of an engine's memory above which it gets no further request while there are others.
     pub kv_filled: f64,
+    /// The calls of other hosts that are not reported yet, for each host; their time is spread at random over the candidates, so
+    /// that many hosts don't all choose the one that was best a moment ago.
+    pub unreported: f64,
     /// The time without an answer after which an upstream is taken to hang: a multiple of the time expected.
     pub hang_factor: f64,
     /// The least such time.
@@ -81,6 +86,7 @@
             prefill_distance: Duration::from_millis(40),
             transfer_distance: Duration::from_millis(100),
             kv_filled: 0.85,
+            unreported: 0.05,
             hang_factor: 6.0,
             hang_least: Duration::from_millis(250),
         }
@@ -113,20 +119,22 @@
         let settings = &self.settings;
         let load = &candidate.load;
         let work = load.work();
+        let unreported = settings.unreported * need.hosts as f64 * rand::random::<f64>();
         let (time, distance) = match need.purpose {
             Purpose::Call => {
                 let time = load.pace.unwrap_or(settings.call_time.as_secs_f64());
                 let queue = f64::from(work.calls + 1) / f64::from(candidate.instance.slots.max(1));
-                (time * (1.0 + queue), settings.call_distance)
+                (time * (1.0 + queue + unreported), settings.call_distance)
             }
             Purpose::Prefill => {
                 let pace = load.pace.unwrap_or(1.0 / settings.prefill_rate);
-                let tokens = (work.tokens + need.tokens) as f64;
+                let tokens = (work.tokens + need.tokens) as f64 + unreported * need.tokens as f64;
                 (tokens * pace, settings.prefill_distance)
             }
             Purpose::Decode => {
                 let share = settings.decode_share.as_secs_f64();
-                let time = load.pace.unwrap_or_default() + f64::from(work.calls) * share;
+                let calls = f64::from(work.calls) + unreported;
+                let time = load.pace.unwrap_or_default() + calls * share;
                 (time, settings.transfer_distance)
             }
         };
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -20,6 +20,10 @@
     /// The time between two reads of the list of upstreams. A leaving upstream must get no new work after two
     /// seconds, so that one read may be lost.
     pub directory_interval: Duration,
+    /// The same for each other host that is heard: all of them read the list and report what has left.
+    pub directory_interval_per_host: Duration,
+    /// The longest time between two reads.
+    pub max_directory_interval: Duration,
     /// The time for which a watch waits for a change. Until it ends, a connection that went silent goes unnoticed, unless
     /// another host hears of a change.
     pub watch_wait: Duration,
@@ -62,7 +66,9 @@
         Self {
             store_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
             directory_interval: Duration::from_millis(800),
-            watch_wait: Duration::from_secs(5),
+            directory_interval_per_host: Duration::from_millis(60),
+            max_directory_interval: Duration::from_millis(2400),
+            watch_wait: Duration::from_secs(12),
             store_backoff: Duration::from_millis(200),
             max_store_backoff: Duration::from_millis(1500),
             registration_ttl: Duration::from_secs(10),
--- a/src/process/forwarding/watchers.rs
+++ b/src/process/forwarding/watchers.rs
@@ -154,8 +154,7 @@
                     backoff.succeeded();
                     self.apply_list(&entries, asked);
                     let took = self.clock.now().saturating_duration_since(asked);
-                    let wait = self.settings.directory_interval.saturating_sub(took);
-                    tokio::time::sleep(wait).await;
+                    tokio::time::sleep(self.list_interval().saturating_sub(took)).await;
                 }
                 Err(e) => {
                     self.state.list_failed();
@@ -165,6 +164,15 @@
         }
     }
 
+    /// Returns the time between two reads of the list: longer where many other hosts read it, too, and report what has left.
+    fn list_interval(&self) -> Duration {
+        let settings = &self.settings;
+        let heard = self.state.peers().heard_count(self.clock.now());
+        let heard = u32::try_from(heard).unwrap_or(u32::MAX);
+        let shared = settings.directory_interval_per_host.saturating_mul(heard);
+        shared.clamp(settings.directory_interval, settings.max_directory_interval)
+    }
+
     fn apply_list(&self, entries: &[StoreEntry], asked: Instant) {
         let mut listed = Vec::with_capacity(entries.len());
         for entry in entries {
@@ -253,15 +261,11 @@
     /// Follows the list of hosts for good.
     pub async fn follow_hosts(&self) {
         let mut backoff = Backoff::new("list of hosts", &self.settings);
-        let mut returned = self.clock.now();
         loop {
             match self.store.list_as_of(HOST_PREFIX).await {
                 Ok(listed) => {
-                    if backoff.away {
-                        returned = self.clock.now();
-                    }
                     backoff.succeeded();
-                    self.apply_hosts(&listed.value, returned);
+                    self.apply_hosts(&listed.value);
                     self.wait_for_hosts(listed.revision).await;
                 }
                 Err(e) => backoff.failed(&e).await,
@@ -269,16 +273,24 @@
         }
     }
 
-    async fn wait_for_hosts(&self, after: Revision) {
+    /// Waits until the list of hosts has changed, or can't be watched.
+    async fn wait_for_hosts(&self, mut after: Revision) {
         let wait = self.settings.watch_wait;
-        let watched = self.store.watch_as_of(HOST_PREFIX, after, wait).await;
-        // Changes come in groups when many hosts start; any failure shows in the next read.
-        if watched.is_ok_and(|changes| !changes.value.is_empty()) {
-            tokio::time::sleep(self.settings.store_backoff).await;
+        loop {
+            match self.store.watch_as_of(HOST_PREFIX, after, wait).await {
+                Ok(changes) if changes.value.is_empty() => after = after.max(changes.revision),
+                Ok(_) => {
+                    // Changes come in groups when many hosts start.
+                    tokio::time::sleep(self.settings.store_backoff).await;
+                    return;
+                }
+                // The next read shows a failure that lasts.
+                Err(_) => return,
+            }
         }
     }
 
-    fn apply_hosts(&self, entries: &[StoreEntry], returned: Instant) {
+    fn apply_hosts(&self, entries: &[StoreEntry]) {
         let mut hosts = Vec::with_capacity(entries.len());
         for entry in entries {
             match serde_json::from_slice::<Registration>(&entry.value) {
@@ -291,9 +303,8 @@
         }
         let now = self.clock.now();
         let gone = self.state.peers().registered(&hosts, now);
-        let since_return = now.saturating_duration_since(returned);
         for host in gone {
-            log::info!(target: "peers", "{host} is gone; list of hosts heard for {since_return:?}");
+            log::info!(target: "peers", "{host} is gone: silent and not registered");
             self.state.usage.forget(&host);
         }
     }
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -165,8 +165,11 @@
             Err(DecodeFailure::Attempt(failure)) => {
                 record.note(&failure);
                 last = failure.to_string();
-                if failure.has_arrived() {
-                    // The engine may have taken the prompt, or found it gone; the next one runs the prompt itself.
+                // An engine that refuses is full or found the prompt gone, so one more is asked to fetch it; after that, or
+                // if the engine may have taken it, the next one runs the prompt itself.
+                let is_refusal = matches!(failure, AttemptFailure::Rejected { .. });
+                if (is_refusal && generation.arrived > 1) || (!is_refusal && failure.has_arrived())
+                {
                     ready = None;
                 }
             }
@@ -257,6 +260,7 @@
             },
             near: near.clone(),
             kv_tokens: self.engine.kv_tokens,
+            hosts: self.cx.state.peers().host_count(),
         };
         let stages: &[Stage] = match purpose {
             Purpose::Prefill => &[Stage::Prefill],
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -108,6 +108,7 @@
             tokens: 0,
             near: self.cx.data_centre.clone(),
             kv_tokens: 0,
+            hosts: self.cx.state.peers().host_count(),
         };
         let stages = [Stage::Whole, Stage::Decode];
         let model = self.call.head.model.as_ref();
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -154,6 +154,7 @@
         tokens: 5000,
         near: "x".into(),
         kv_tokens: 50_000,
+        hosts: 1,
     }
 }
 
@@ -332,6 +333,7 @@
         leaving: false,
         granted: Vec::new(),
         work: Vec::new(),
+        left: Vec::new(),
         has_on_time: false,
         crashes: Vec::new(),
     }
