--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -49,6 +49,10 @@
     pub newest: f64,
     /// The time for which another host's report counts.
     pub report_ttl: Duration,
+    /// The upstreams of a data centre that can't be reached, one after the other, until it is taken to be cut off.
+    pub cut_off_after: u32,
+    /// The time after which a data centre that was cut off is tried again.
+    pub cut_off: Duration,
 }
 
 impl Default for LoadSettings {
@@ -58,6 +62,8 @@
             max_block: Duration::from_secs(4),
             newest: 0.2,
             report_ttl: Duration::from_millis(1500),
+            cut_off_after: 2,
+            cut_off: Duration::from_secs(2),
         }
     }
 }
@@ -89,6 +95,8 @@
     pub unanswered: Duration,
     /// Whether it gets no work because calls failed.
     pub is_blocked: bool,
+    /// Whether its data centre can't be reached, as far as this host knows.
+    pub is_cut_off: bool,
     /// The seconds that one unit of work took on average: a token for prefills, else a call.
     pub pace: Option<f64>,
 }
@@ -107,8 +115,10 @@
 pub enum CallEnd {
     /// It answered.
     Answered,
-    /// It could not be reached, broke off or did not answer.
+    /// It broke off or did not answer.
     Failed,
+    /// It could not be reached.
+    Unreachable,
     /// It refused the call because it is full.
     Full,
     /// It refused the call because it runs another stage than it registered.
@@ -128,10 +138,19 @@
 /// heartbeat, and the list is read about once a second.
 const OTHER_STAGE_BLOCK: Duration = Duration::from_secs(3);
 
+/// How the upstreams of one data centre are reached.
+#[derive(Debug, Default, Clone, Copy)]
+struct Reach {
+    /// The calls since the last answer that reached none.
+    misses: u32,
+    missed: Option<Instant>,
+}
+
 /// The load of all upstreams.
 #[derive(Debug, Default)]
 pub struct LoadBook {
     settings: LoadSettings,
+    centres: Shards<HashMap<DataCentreId, Reach>>,
     upstreams: Shards<HashMap<UpstreamId, UpstreamLoad>>,
 }
 
@@ -140,6 +159,7 @@
     pub fn new(settings: LoadSettings) -> Self {
         Self {
             settings,
+            centres: Shards::default(),
             upstreams: Shards::default(),
         }
     }
@@ -165,6 +185,8 @@
 
     /// Takes note that a call has been answered, or a first part of it.
     pub fn answered(&self, instance: &Instance, call: CallNo, now: Instant) {
+        let centre = &instance.data_centre;
+        self.centres.lock(centre).remove(centre);
         self.with(instance, |load| {
             load.waiting.retain(|(waiting, _)| *waiting != call);
             load.heard = Some(now);
@@ -183,6 +205,13 @@
     /// Ends a call.
     pub fn end(&self, instance: &Instance, call: CallNo, work: Work, end: CallEnd, now: Instant) {
         let settings = &self.settings;
+        if end == CallEnd::Unreachable {
+            let centre = &instance.data_centre;
+            let mut centres = self.centres.lock(centre);
+            let reach = centres.entry(centre.clone()).or_default();
+            reach.misses += 1;
+            reach.missed = Some(now);
+        }
         self.with(instance, |load| {
             load.own.remove(work);
             load.waiting.retain(|(waiting, _)| *waiting != call);
@@ -192,7 +221,7 @@
                     load.refusals = 0;
                     load.blocked_until = None;
                 }
-                CallEnd::Failed => {
+                CallEnd::Failed | CallEnd::Unreachable => {
                     let doubled = settings.block * 2u32.pow(load.failures.min(8));
                     load.failures += 1;
                     load.blocked_until = Some(now + doubled.min(settings.max_block));
@@ -238,6 +267,7 @@
     /// Returns the load of an upstream, and makes it known for reports of other hosts.
     pub fn view(&self, instance: &Instance, now: Instant) -> LoadView {
         let ttl = self.settings.report_ttl;
+        let is_cut_off = self.is_cut_off(&instance.data_centre, now);
         self.with(instance, |load| {
             let mut others = Work::default();
             let age = |at: &Instant| now.saturating_duration_since(*at);
@@ -252,11 +282,25 @@
                 others,
                 unanswered: oldest.unwrap_or_default(),
                 is_blocked: load.blocked_until.is_some_and(|until| until > now),
+                is_cut_off,
                 pace: load.pace,
             }
         })
     }
 
+    /// Tells whether the upstreams of a data centre could not be reached lately.
+    fn is_cut_off(&self, centre: &DataCentreId, now: Instant) -> bool {
+        let settings = &self.settings;
+        let reach = self
+            .centres
+            .lock(centre)
+            .get(centre)
+            .copied()
+            .unwrap_or_default();
+        let is_recent = |missed| now.saturating_duration_since(missed) < settings.cut_off;
+        reach.misses >= settings.cut_off_after && reach.missed.is_some_and(is_recent)
+    }
+
     /// Returns when an upstream was last heard.
     pub fn heard(&self, instance: &Instance) -> Option<Instant> {
         self.with(instance, |load| load.heard)
--- a/src/process/forwarding/selection.rs
+++ b/src/process/forwarding/selection.rs
@@ -93,9 +93,10 @@
     }
 }
 
-/// What a hanging, a full and a failed upstream are made dearer by, in seconds: each is taken only if all others are worse.
+/// What a hanging, a full, a cut off and a failed upstream are made dearer by, in seconds: each is taken only if all others are worse.
 const HANGING: f64 = 10.0;
 const FULL: f64 = 20.0;
+const CUT_OFF: f64 = 50.0;
 const BLOCKED: f64 = 100.0;
 
 /// Chooses by the predicted time until the upstream has done its part.
@@ -150,6 +151,9 @@
         if need.purpose == Purpose::Decode && filled > need.kv_tokens as f64 * settings.kv_filled {
             cost += FULL;
         }
+        if load.is_cut_off {
+            cost += CUT_OFF;
+        }
         if load.is_blocked {
             cost += BLOCKED;
         }
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -147,7 +147,12 @@
                 if matches!(failure, SendFailure::Broken { .. }) {
                     self.report_crash(call);
                 }
-                self.finish(CallEnd::Failed);
+                let is_unreachable = matches!(failure, SendFailure::Unreachable { .. });
+                self.finish(if is_unreachable {
+                    CallEnd::Unreachable
+                } else {
+                    CallEnd::Failed
+                });
             }
         }
         result
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -119,6 +119,48 @@
     assert!(!loads.view(&a, now).is_blocked);
 }
 
+/// Guards against trying every upstream of a data centre that is cut off, and against never trying it again.
+#[test]
+fn cut_off_data_centre_is_left_out_for_a_while() {
+    let now = Instant::now();
+    let loads = LoadBook::new(LoadSettings::default());
+    let upstreams: Vec<_> = ["a", "b", "c"]
+        .iter()
+        .map(|id| instance(id, Stage::Whole, "x"))
+        .collect();
+    let elsewhere = instance("d", Stage::Whole, "y");
+    let work = Work {
+        calls: 1,
+        ..Work::default()
+    };
+    for upstream in &upstreams[..2] {
+        assert!(!loads.view(&upstreams[2], now).is_cut_off);
+        loads.begin(upstream, work);
+        loads.end(upstream, 1, work, CallEnd::Unreachable, now);
+    }
+    assert!(loads.view(&upstreams[2], now).is_cut_off);
+    assert!(!loads.view(&elsewhere, now).is_cut_off);
+    assert!(!loads.view(&upstreams[2], now + millis(2500)).is_cut_off);
+    loads.answered(&upstreams[2], 1, now);
+    assert!(!loads.view(&upstreams[2], now).is_cut_off);
+}
+
+/// Guards against work for an upstream that other hosts found to have left, while this host can't read the list.
+#[test]
+fn upstream_that_left_elsewhere_gets_no_work() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.apply(vec![instance("a", Stage::Whole, "x")], now);
+    assert!(!directory.note_left(&"a".into(), 7));
+    assert!(directory.note_left(&"a".into(), 1));
+    assert!(ids(&directory).is_empty());
+    // The own list goes first, as soon as it can be read.
+    directory.apply(vec![instance("a", Stage::Whole, "x")], now + millis(800));
+    assert_eq!(ids(&directory).len(), 1);
+    directory.apply(Vec::new(), now + millis(1600));
+    assert_eq!(directory.left(), vec![("a".into(), 1)]);
+}
+
 /// Guards against reports of other hosts that add up, or that count after the host has fallen silent.
 #[test]
 fn reports_replace_each_other_and_age() {
--- a/tests/suite/forward_path.rs
+++ b/tests/suite/forward_path.rs
@@ -333,6 +333,30 @@
     assert_eq!((answer.status, answer.whole), (200, true));
 }
 
+/// Guards against streams that a stopping host takes and then cuts off.
+#[tokio::test]
+async fn stopping_host_refuses_a_stream_that_would_outlast_it() {
+    let mut platform = Platform::start().await;
+    let host = platform.host.take().expect("host runs");
+    let drain = tokio::spawn(host.drain());
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let mut req = platform.request("POST", "/text/1");
+    req.headers_mut()
+        .insert("x-token-counts", "1000,9000".parse().expect("value"));
+    let answer = platform.send(req).await;
+    assert_eq!(answer.status, 503);
+    let wait: f64 = answer.headers["retry-after"]
+        .to_str()
+        .expect("text")
+        .parse()
+        .expect("number");
+    assert!(wait < 0.2, "{wait}");
+    assert_eq!(answer.headers["connection"], "close");
+    assert!(platform.seen_by("").is_empty());
+    assert_eq!(platform.call("POST", "/text/1").await.status, 200);
+    drain.await.expect("host ends");
+}
+
 /// Guards against requests that the platform's callers never send: no id, two ids, unreadable numbers.
 #[tokio::test]
 async fn malformed_heads_are_refused() {
