Have hosts tell each other of unwell upstreams

Hosts report what they find for 0.6 s; a host that was answered by the upstream within 0.3 s goes by that.

--- a/src/process/forwarding/exchange.rs
+++ b/src/process/forwarding/exchange.rs
@@ -83,6 +83,7 @@
             leaving,
             granted: self.state.usage.granted_since(since),
             work: self.state.loads.own_work(),
+            unwell: self.state.loads.unwell_news(now),
             left: self.state.with_directory(Directory::left),
             has_on_time: self.state.rooms.has_on_time(now),
             crashes: self.state.crash_news(now),
@@ -119,6 +120,9 @@
         }
         self.state.note_version(report.version);
         self.state.note_left(&report.left);
+        for news in &report.unwell {
+            self.state.loads.note_unwell(news, now);
+        }
         self.state.rooms.changed(now);
         if report.leaving {
             self.state.usage.forget(&report.host);
--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -1,6 +1,7 @@
 //! The load and health of upstreams as this host sees them. Holds no I/O and reads no clock.
 
 use std::collections::HashMap;
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -8,7 +9,7 @@
 
 use crate::prelude::*;
 use crate::process::forwarding::directory::Instance;
-use crate::process::shard::Shards;
+use crate::process::shard::{Shards, lock};
 
 /// Work that an upstream has been given and has not finished.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,6 +52,10 @@
     pub report_ttl: Duration,
     /// The upstreams of a data centre that can't be reached, one after the other, until it is taken to be cut off.
     pub cut_off_after: u32,
+    /// The time for which other hosts are told of an upstream that is unwell.
+    pub news_ttl: Duration,
+    /// The age up to which an own answer counts for more than what another host tells.
+    pub own_answer: Duration,
     /// The time after which a data centre that was cut off is tried again.
     pub cut_off: Duration,
 }
@@ -62,6 +67,8 @@
             max_block: Duration::from_secs(4),
             newest: 0.2,
             report_ttl: Duration::from_millis(1500),
+            news_ttl: Duration::from_millis(600),
+            own_answer: Duration::from_millis(300),
             cut_off_after: 2,
             cut_off: Duration::from_secs(2),
         }
@@ -138,6 +145,17 @@
 /// heartbeat, and the list is read about once a second.
 const OTHER_STAGE_BLOCK: Duration = Duration::from_secs(3);
 
+/// That an upstream is unwell, as one host tells the others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnwellNews {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Its start.
+    pub born: u64,
+    /// The time for which it should get no work.
+    pub rest: Duration,
+}
+
 /// How the upstreams of one data centre are reached.
 #[derive(Debug, Default, Clone, Copy)]
 struct Reach {
@@ -151,6 +169,8 @@
 pub struct LoadBook {
     settings: LoadSettings,
     centres: Shards<HashMap<DataCentreId, Reach>>,
+    /// What this host found lately, to tell the others.
+    news: Mutex<Vec<(Instant, UnwellNews)>>,
     upstreams: Shards<HashMap<UpstreamId, UpstreamLoad>>,
 }
 
@@ -160,6 +180,7 @@
         Self {
             settings,
             centres: Shards::default(),
+            news: Mutex::default(),
             upstreams: Shards::default(),
         }
     }
@@ -236,6 +257,17 @@
                 CallEnd::Left => {}
             }
         });
+        let rest = match end {
+            CallEnd::Unreachable | CallEnd::Failed => settings.block,
+            CallEnd::OtherStage => OTHER_STAGE_BLOCK,
+            CallEnd::Answered | CallEnd::Full | CallEnd::Left => return,
+        };
+        let news = UnwellNews {
+            upstream: instance.id.clone(),
+            born: instance.born,
+            rest,
+        };
+        lock(&self.news).push((now, news));
     }
 
     /// Replaces what another host reported of its work; upstreams that it does not name have none of it.
@@ -254,6 +286,27 @@
         }
     }
 
+    /// Returns the upstreams that this host found unwell lately, to report them.
+    pub fn unwell_news(&self, now: Instant) -> Vec<UnwellNews> {
+        let mut news = lock(&self.news);
+        news.retain(|(at, _)| now.saturating_duration_since(*at) < self.settings.news_ttl);
+        news.iter().map(|(_, news)| news.clone()).collect()
+    }
+
+    /// Takes over that another host found an upstream unwell, unless this host was answered by it just now: a host may lose its
+    /// way to an upstream that is well.
+    pub fn note_unwell(&self, news: &UnwellNews, now: Instant) {
+        let mut upstreams = self.upstreams.lock(&news.upstream);
+        let Some(load) = upstreams.get_mut(&news.upstream) else {
+            return;
+        };
+        let age = load.heard.map(|heard| now.saturating_duration_since(heard));
+        if load.born == news.born && age.is_none_or(|age| age > self.settings.own_answer) {
+            let rest = news.rest.min(self.settings.max_block);
+            load.blocked_until = load.blocked_until.max(Some(now + rest));
+        }
+    }
+
     /// Returns the work that this host has given, to report it.
     pub fn own_work(&self) -> Vec<(UpstreamId, Work)> {
         let mut work = Vec::new();
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
-use crate::process::forwarding::load::Work;
+use crate::process::forwarding::load::{UnwellNews, Work};
 use crate::process::forwarding::usage::Granted;
 use crate::process::message::CrashReport;
 
@@ -32,6 +32,8 @@
     pub granted: Vec<(CustomerId, Granted)>,
     /// The work that it has given to upstreams.
     pub work: Vec<(UpstreamId, Work)>,
+    /// The upstreams that it found unwell lately.
+    pub unwell: Vec<UnwellNews>,
     /// The upstreams that it found to have left lately, each with its start.
     pub left: Vec<(UpstreamId, u64)>,
     /// Whether a request waits there for room that can still meet its target.
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -264,7 +264,11 @@
         let now = self.cx.clock.now();
         let loads = &self.cx.state.loads;
         loads.end(&self.instance, self.no, self.work, end, now);
-        if self.work.tokens > 0 {
+        let is_news = matches!(
+            end,
+            CallEnd::Failed | CallEnd::Unreachable | CallEnd::OtherStage
+        );
+        if self.work.tokens > 0 || is_news {
             self.cx.state.report_soon();
             self.cx.state.rooms.changed(now);
         }
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -119,6 +119,37 @@
     assert!(!loads.view(&a, now).is_blocked);
 }
 
+/// Load pattern: a quarter of the engines crashes before 60 hosts. Guards against every host finding each of them by itself,
+/// which takes more retries than all hosts together have.
+#[test]
+fn one_host_finds_an_unwell_upstream_for_all() {
+    let now = Instant::now();
+    let (finder, other) = (
+        LoadBook::new(LoadSettings::default()),
+        LoadBook::new(LoadSettings::default()),
+    );
+    let crashed = instance("a", Stage::Decode, "x");
+    other.view(&crashed, now);
+    let work = Work {
+        calls: 1,
+        ..Work::default()
+    };
+    finder.begin(&crashed, work);
+    finder.end(&crashed, 1, work, CallEnd::Unreachable, now);
+    let news = finder.unwell_news(now);
+    assert_eq!(news.len(), 1);
+    // A host that was answered just now knows better.
+    other.answered(&crashed, 1, now);
+    other.note_unwell(&news[0], now + millis(100));
+    assert!(!other.view(&crashed, now + millis(100)).is_blocked);
+    other.note_unwell(&news[0], now + millis(400));
+    assert!(other.view(&crashed, now + millis(400)).is_blocked);
+    assert!(!other.view(&crashed, now + millis(1000)).is_blocked);
+    let reborn = Instance { born: 2, ..crashed };
+    assert!(!other.view(&reborn, now + millis(400)).is_blocked);
+    assert!(finder.unwell_news(now + millis(700)).is_empty());
+}
+
 /// Guards against trying every upstream of a data centre that is cut off, and against never trying it again.
 #[test]
 fn cut_off_data_centre_is_left_out_for_a_while() {
@@ -375,6 +406,7 @@
         leaving: false,
         granted: Vec::new(),
         work: Vec::new(),
+        unwell: Vec::new(),
         left: Vec::new(),
         has_on_time: false,
         crashes: Vec::new(),
