Check that a reserved engine still takes work before its stream is sent

Its room was reserved before the prompt was prefilled, which took over a second, and the engine's registration was not looked at again. Ruled out: a late list (the host had it 0.8 s after the change). The test fails before the change.

--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -203,6 +203,12 @@
         self.by_service.get(service).cloned()
     }
 
+    /// Tells whether an upstream that was chosen a while ago still takes new work.
+    pub fn is_taker(&self, instance: &Instance) -> bool {
+        let known = self.instances.get(&instance.id);
+        known.is_some_and(|known| known.born == instance.born && !known.draining)
+    }
+
     /// Returns the number of upstreams known, leaving ones included.
     pub fn len(&self) -> usize {
         self.instances.len()
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -237,7 +237,12 @@
         last_event: Option<String>,
         record: &mut ForwardRecord,
     ) -> Result<(Response<UpstreamBody>, Attempt), DecodeFailure> {
-        let room = match room {
+        // The engine may have begun to leave while the prompt was prefilled.
+        let still_takes = |room: &Attempt| {
+            let state = &self.cx.state;
+            state.with_directory(|d| d.is_taker(&room.instance))
+        };
+        let room = match room.filter(still_takes) {
             Some(room) => Some(room),
             None => self.next_engine(ready.as_deref(), record),
         };
--- a/tests/suite/forward_path.rs
+++ b/tests/suite/forward_path.rs
@@ -294,6 +294,25 @@
     assert!(platform.seen_by("s-0").is_empty());
 }
 
+/// Guards against a stream that is sent to an engine which began to leave while the prompt was prefilled elsewhere.
+#[tokio::test]
+async fn engine_that_leaves_during_the_prefill_is_not_used() {
+    let platform = Platform::start().await;
+    platform.runner("p-0").behave(Behaviour::Slow);
+    platform.runner("p-1").behave(Behaviour::Slow);
+    let (first, second, ()) = tokio::join!(
+        platform.call("POST", "/text/1"),
+        platform.call("POST", "/text/2"),
+        async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            platform.register("d-0", "draining").await;
+        }
+    );
+    assert_eq!((first.status, second.status), (200, 200));
+    assert!(platform.seen_by("d-0").is_empty());
+    assert_eq!(platform.seen_by("d-1").len(), 2);
+}
+
 /// Guards against a configuration that is taken over late, and against one that can't be read replacing a good one.
 #[tokio::test]
 async fn newer_configuration_is_in_force_and_an_unreadable_one_is_not() {
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -141,6 +141,9 @@
     }
 }
 
+/// The time that a slow runner takes.
+const SLOW: Duration = Duration::from_millis(600);
+
 /// How a runner treats the requests that it gets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Behaviour {
@@ -162,6 +165,8 @@
     Fail,
     /// It answers that another runner has its address.
     OtherInstance,
+    /// It answers after a while.
+    Slow,
     /// It never answers.
     Hang,
 }
@@ -274,6 +279,7 @@
             Behaviour::VagueRefusal => return status(503, None),
             Behaviour::OtherInstance => return status(421, Some(("x-instance-id", "i-other"))),
             Behaviour::LoseAnswer => return None,
+            Behaviour::Slow => tokio::time::sleep(SLOW).await,
             Behaviour::Hang => std::future::pending().await,
             _ => {}
         }
