Use one piece of code where forwarding had two

The refusal of a request that nothing served and the taking of a retry stood in plain calls and in generations; the body type, its error and whole_body in the callers' front and in the request path; the opening of an HTTP connection with its driving task in both clients; the headers of a connection in a second list in service.rs; the order-giver's record beside LeaderRecord. Each is one now. A host's stop was kept in four places and is read from its end time; the test of silence in the list of hosts is one method. Lengths of lines that nobody read are gone, and a copy of settings that changed nothing.

No behaviour changes.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -8,6 +8,7 @@
 pub mod completion;
 pub mod engine;
 pub mod forward;
+pub mod headers;
 pub mod host_list;
 pub mod http_client;
 pub mod operator;
--- a/src/connection/caller/response.rs
+++ b/src/connection/caller/response.rs
@@ -3,15 +3,16 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame as BodyFrame;
 use tokio::sync::OwnedSemaphorePermit;
 
-use crate::connection::caller_listener::{BodyError, ResponseBody};
+use crate::connection::caller_listener::ResponseBody;
 use crate::connection::completion::{Encoder, refusal_json};
 use crate::prelude::*;
 use crate::request::flow::{AnswerEvent, CompletionAnswer};
+use crate::request::forward::link::{BodyError, whole_body};
 use crate::request::service::ServiceAnswer;
 
 /// Streams an answer, which keeps its prompt and thus the `memory` of the request to the end. The body drops the answer when the caller's connection closes, which cancels it everywhere.
@@ -93,13 +94,6 @@
     response
 }
 
-/// Makes a body of bytes that are all there.
-pub fn whole_body(bytes: Bytes) -> ResponseBody {
-    Full::new(bytes)
-        .map_err(|never| match never {})
-        .boxed_unsync()
-}
-
 fn json_response(body: Vec<u8>) -> Response<ResponseBody> {
     let mut response = Response::new(whole_body(Bytes::from(body)));
     set_content_type(&mut response, "application/json");
--- a/src/connection/caller_listener.rs
+++ b/src/connection/caller_listener.rs
@@ -6,9 +6,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use futures_util::FutureExt;
-use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,12 +17,10 @@
 use tokio::task::JoinSet;
 
 use crate::connection::caller_io::CallerIo;
-
-/// Why an answer's body breaks off.
-pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+use crate::request::forward::link::UpstreamBody;
 
 /// The body of an answer to a caller. An error closes the connection, so that the answer never looks complete.
-pub type ResponseBody = UnsyncBoxBody<Bytes, BodyError>;
+pub type ResponseBody = UpstreamBody;
 
 /// How far a listener has stopped.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/connection/forward/front.rs
+++ b/src/connection/forward/front.rs
@@ -1,7 +1,6 @@
 //! The HTTP front for requests that are passed on whole.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use async_trait::async_trait;
 use http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
@@ -11,7 +10,7 @@
 use crate::connection::caller::refusal_response;
 use crate::connection::caller_body::BodyReader;
 use crate::connection::caller_listener::{CallerHandler, CallerSettings, ResponseBody};
-use crate::connection::forward::headers::remove_hop_headers;
+use crate::connection::headers::remove_hop_headers;
 use crate::prelude::*;
 use crate::request::forward::call::{Call, CallHead};
 use crate::request::forward::flow::{Admitted, ForwardServices, admit, run};
@@ -21,7 +20,6 @@
 pub struct ForwardFront {
     cx: Arc<ForwardServices>,
     bodies: BodyReader,
-    draining: AtomicBool,
 }
 
 impl ForwardFront {
@@ -30,15 +28,9 @@
         Arc::new(Self {
             cx,
             bodies: BodyReader::new(settings),
-            draining: AtomicBool::new(false),
         })
     }
 
-    /// Has every connection end with its next answer.
-    pub fn start_draining(&self) {
-        self.draining.store(true, Ordering::Relaxed);
-    }
-
     async fn dispatch(&self, req: Request<Incoming>) -> Response<ResponseBody> {
         let arrived = self.cx.clock.now();
         let (parts, body) = req.into_parts();
@@ -125,7 +117,8 @@
 impl CallerHandler for ForwardFront {
     async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody> {
         let mut response = self.dispatch(req).await;
-        if self.draining.load(Ordering::Relaxed) {
+        if self.cx.state.end().is_some() {
+            // The host stops: the connection ends with this answer.
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/src/connection/forward/upstream_pool.rs
+++ b/src/connection/forward/upstream_pool.rs
@@ -14,10 +14,9 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 
+use crate::connection::http_client::{ConnectionTask, open_connection};
 use crate::process::shard::Shards;
 use crate::request::forward::link::{
     BodyError, SendFailure, SendLimits, UpstreamBody, UpstreamLink,
@@ -32,19 +31,10 @@
 /// What is taken off the time for which an upstream keeps an idle connection, so that no call crosses its close.
 const KEEP_MARGIN: Duration = Duration::from_millis(600);
 
-/// The task that drives a connection; the connection closes when it is dropped.
-struct Driver(JoinHandle<()>);
-
-impl Drop for Driver {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// An open connection.
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
-    _driver: Driver,
+    _task: ConnectionTask,
 }
 
 /// An idle connection.
@@ -98,15 +88,11 @@
         socket
             .set_nodelay(true)
             .map_err(|e| unreachable(e.to_string()))?;
-        let handshake = http1::handshake(TokioIo::new(socket)).await;
-        let (sender, connection) = handshake.map_err(|e| unreachable(e.to_string()))?;
-        let driver = Driver(tokio::spawn(async move {
-            // The error also reaches whoever waits for the answer.
-            let _ = connection.await;
-        }));
+        let opened = open_connection(socket).await;
+        let (sender, task) = opened.map_err(|e| unreachable(e.to_string()))?;
         Ok(Connection {
             sender,
-            _driver: driver,
+            _task: task,
         })
     }
 }
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -47,13 +47,7 @@
         let deadline = tokio::time::Instant::now() + timeout;
         let socket = connect(req.uri(), timeout.min(CONNECT_TIMEOUT)).await?;
         let broken = |e| UpstreamError::unknown(UpstreamErrorKind::Broken, e);
-        let (mut sender, connection) = http1::handshake(TokioIo::new(socket))
-            .await
-            .map_err(broken)?;
-        let connection = Connection(tokio::spawn(async move {
-            // The error also reaches whoever waits for the answer.
-            let _ = connection.await;
-        }));
+        let (mut sender, connection) = open_connection(socket).await.map_err(broken)?;
         match tokio::time::timeout_at(deadline, sender.send_request(origin_form(req)?)).await {
             Ok(Ok(response)) => Ok(response.map(|body| AnswerBody {
                 body,
@@ -103,7 +97,7 @@
 #[derive(Debug)]
 pub struct AnswerBody {
     body: Incoming,
-    _connection: Connection,
+    _connection: ConnectionTask,
 }
 
 impl Body for AnswerBody {
@@ -126,11 +120,26 @@
     }
 }
 
-/// The task that drives a connection.
+/// The task that drives a connection. Dropping it closes the connection.
 #[derive(Debug)]
-struct Connection(JoinHandle<()>);
+pub struct ConnectionTask(JoinHandle<()>);
 
-impl Drop for Connection {
+/// Opens HTTP on a socket.
+///
+/// # Errors
+/// Returns the error of the HTTP library.
+pub async fn open_connection(
+    socket: TcpStream,
+) -> Result<(http1::SendRequest<Full<Bytes>>, ConnectionTask), hyper::Error> {
+    let (sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
+    let task = tokio::spawn(async move {
+        // The error also reaches whoever waits for the answer.
+        let _ = connection.await;
+    });
+    Ok((sender, ConnectionTask(task)))
+}
+
+impl Drop for ConnectionTask {
     fn drop(&mut self) {
         self.0.abort();
     }
--- a/src/connection/service.rs
+++ b/src/connection/service.rs
@@ -9,6 +9,7 @@
 use hyper::Request;
 
 use crate::connection::engine::{EngineTimeouts, HttpEngine};
+use crate::connection::headers::remove_hop_headers;
 use crate::connection::http_client::{HttpClient, read_body};
 use crate::prelude::*;
 use crate::request::service::{ServiceAnswer, ServiceCall};
@@ -28,21 +29,13 @@
     header::USER_AGENT,
 ];
 
-/// The headers of an answer that do not pass to the caller: those that belong to the connection (RFC 9110, section
-/// 7.6.1), and those that the host writes itself.
-const OWN_HEADERS: [&str; 14] = [
-    "connection",
+/// The headers of an answer that do not pass to the caller, besides those that belong to the connection: they concern the
+/// path to the service, or the host writes them itself.
+const OWN_HEADERS: [&str; 6] = [
     "content-length",
     "content-type",
     "date",
-    "keep-alive",
     "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
     "via",
     REQUEST_ID_HEADER,
 ];
@@ -60,16 +53,12 @@
 
 /// Returns the headers of a service's answer that pass to the caller.
 fn answer_headers(headers: &HeaderMap) -> Vec<(String, String)> {
-    let named = headers.get_all(header::CONNECTION).iter();
-    let named = named.filter_map(|value| value.to_str().ok());
-    let named: Vec<_> = named
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
+    let mut headers = headers.clone();
+    remove_hop_headers(&mut headers);
     headers
         .iter()
         .map(|(name, value)| (name.as_str(), value))
-        .filter(|(name, _)| !OWN_HEADERS.contains(name) && !named.iter().any(|n| n == name))
+        .filter(|(name, _)| !OWN_HEADERS.contains(name))
         .filter_map(|(name, value)| Some((name.to_owned(), value.to_str().ok()?.to_owned())))
         .collect()
 }
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -15,6 +15,7 @@
 use crate::process::forwarding::settings::ForwardingSettings;
 use crate::process::forwarding::usage::UsageBook;
 use crate::process::message::CrashReport;
+use crate::process::metrics;
 use crate::process::quarantine::CrashBook;
 use crate::process::shard::lock;
 use crate::version::cell::VersionCell;
@@ -67,8 +68,11 @@
         }
     }
 
-    /// Returns why the host can't serve, or `None` if it can.
+    /// Returns why the host takes no new work, or `None` if it does.
     pub fn not_ready(&self) -> Option<&'static str> {
+        if self.end().is_some() {
+            return Some("stopping");
+        }
         if self.tables.current().version == 0 {
             return Some("no configuration yet");
         }
@@ -141,6 +145,16 @@
         lock(&self.crashes).0.is_refused(fingerprint, now)
     }
 
+    /// Takes one retry of `cause` if this host has one left; tells whether it had.
+    pub fn take_retry(&self, service: &ModelId, cause: &'static str, now: Instant) -> bool {
+        let hosts = self.peers().host_count();
+        let taken = self.retries.take(service, hosts, now);
+        if taken {
+            ::metrics::counter!(metrics::RETRIES, "cause" => cause).increment(1);
+        }
+        taken
+    }
+
     /// Takes note of a request that broke off with its upstream; `own` ones are reported to other hosts.
     pub fn note_crash(&self, news: &CrashReport, own: bool, now: Instant) {
         let mut crashes = lock(&self.crashes);
--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -2,18 +2,19 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::connection::caller_listener::{CallerListener, CallerSettings, StopPhase};
+use crate::connection::caller_listener::{CallerListener, StopPhase};
 use crate::connection::forward::front::ForwardFront;
 use crate::connection::forward::reports::ReportSocket;
 use crate::connection::forward::upstream_pool::{PooledLink, UpstreamPool};
 use crate::connection::operator::{self, OperatorView};
 use crate::prelude::*;
+use crate::process::background::BackgroundTasks;
 use crate::process::dump::Dump;
 use crate::process::forwarding::exchange::Exchange;
 use crate::process::forwarding::fleet::FleetState;
@@ -71,10 +72,8 @@
     /// The operators' address.
     pub operators_address: Option<SocketAddr>,
     stop_times: Mutex<StopTimes>,
-    front: Arc<ForwardFront>,
     cx: Arc<ForwardServices>,
     exchange: Arc<Exchange>,
-    draining: watch::Sender<bool>,
     stop: watch::Sender<StopPhase>,
     serving: JoinHandle<()>,
     tasks: Vec<JoinHandle<()>>,
@@ -146,31 +145,24 @@
             codec: outside.call_codec,
             clock,
             settings: forwarding.requests.clone(),
-            tasks: crate::process::background::BackgroundTasks::default(),
+            tasks: BackgroundTasks::default(),
         });
-        let draining = watch::Sender::new(false);
         let operators_address = match settings.operators_address {
-            Some(address) => Some(start_operators(address, &settings, &state, &draining)?),
+            Some(address) => Some(start_operators(address, &settings, &state)?),
             None => None,
         };
         let tasks = spawn_tasks(&watchers, &exchange, orders);
         let listener = TcpListener::bind(settings.callers_address).await?;
         let callers_address = listener.local_addr()?;
-        let caller_settings = CallerSettings {
-            read_timeout: settings.callers.read_timeout,
-            ..settings.callers
-        };
-        let front = ForwardFront::new(cx.clone(), &caller_settings);
+        let front = ForwardFront::new(cx.clone(), &settings.callers);
         let (stop, stopped) = watch::channel(StopPhase::Serving);
-        let serving = CallerListener::new(front.clone(), caller_settings);
+        let serving = CallerListener::new(front, settings.callers);
         Ok(Self {
             callers_address,
             operators_address,
             stop_times: Mutex::new(StopTimes::of(&forwarding)),
-            front,
             cx,
             exchange,
-            draining,
             stop,
             serving: tokio::spawn(serving.serve(listener, stopped)),
             tasks,
@@ -194,8 +186,6 @@
         let times = *lock(&self.stop_times);
         let open = times.grace.saturating_sub(GRACE_MARGIN);
         self.cx.state.set_end(self.cx.clock.now() + open);
-        self.draining.send_replace(true);
-        self.front.start_draining();
         self.stop.send_replace(StopPhase::Closing);
         tokio::time::sleep(times.drain_delay).await;
         self.stop.send_replace(StopPhase::Stopped);
@@ -243,7 +233,6 @@
     address: SocketAddr,
     settings: &Settings,
     state: &Arc<FleetState>,
-    draining: &watch::Sender<bool>,
 ) -> std::io::Result<SocketAddr> {
     let host = settings.host.clone();
     let (config, usage, peers) = (state.clone(), state.clone(), state.clone());
@@ -251,16 +240,9 @@
         .with_view("host", move || host.clone())
         .with_view("configuration", move || config.tables.current().version)
         .with_view("usage", move || usage.usage.levels())
-        .with_view("peers", move || {
-            peers.peers().ages(std::time::Instant::now())
-        });
-    let (state, draining) = (state.clone(), draining.subscribe());
-    let not_ready = move || {
-        if *draining.borrow() {
-            return Some("stopping".to_owned());
-        }
-        state.not_ready().map(str::to_owned)
-    };
+        .with_view("peers", move || peers.peers().ages(Instant::now()));
+    let state = state.clone();
+    let not_ready = move || state.not_ready().map(str::to_owned);
     let view: Arc<dyn OperatorView> = NodeView::new(dump, Box::new(not_ready));
     operator::start(address, &view)
 }
--- a/src/process/forwarding/line.rs
+++ b/src/process/forwarding/line.rs
@@ -90,11 +90,6 @@
         self.waiters.values().any(|waiter| waiter.is_on_time(now))
     }
 
-    /// Returns the number of requests that wait.
-    pub fn len(&self) -> usize {
-        self.waiters.len()
-    }
-
     /// Tells whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.waiters.is_empty()
--- a/src/process/forwarding/order_giver.rs
+++ b/src/process/forwarding/order_giver.rs
@@ -7,11 +7,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use serde::Serialize;
-
 use crate::prelude::*;
 use crate::process::forwarding::fleet::FleetState;
 use crate::process::forwarding::roles::{RoleSettings, StageChange, plan};
+use crate::process::orders::leadership::LeaderRecord;
 use crate::request::forward::codec::{CallCodec, StageOrder};
 use crate::request::forward::link::{SendLimits, UpstreamLink};
 
@@ -40,12 +39,6 @@
 /// holder can't have its turn yet, because the lease of the first is longer.
 const FIRST_TURN: Duration = Duration::from_secs(8);
 
-#[derive(Serialize)]
-struct Holder<'a> {
-    host: &'a str,
-    incarnation: Incarnation,
-}
-
 /// Gives orders to engines.
 pub struct OrderGiver {
     /// This host.
@@ -136,8 +129,8 @@
     async fn take_turn(&self) -> Result<Turn, StoreError> {
         let asked = self.clock.now();
         let lease = self.store.grant_lease(HOLDER_TTL).await?;
-        let holder = Holder {
-            host: &self.host,
+        let holder = LeaderRecord {
+            host: self.host.clone(),
             incarnation: self.incarnation,
         };
         let value = serde_json::to_vec(&holder).unwrap_or_default();
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -67,6 +67,13 @@
     has_on_time: bool,
 }
 
+impl Peer {
+    /// Tells whether it was heard lately.
+    fn is_heard(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) < SILENT_AFTER
+    }
+}
+
 /// What a report means for this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReportOrder {
@@ -125,7 +132,7 @@
             match known {
                 Some(peer) if peer.incarnation == host.incarnation => peer.registered = true,
                 // A host that is heard knows its own process start better than a list does.
-                Some(peer) if now.saturating_duration_since(peer.heard) < SILENT_AFTER => {
+                Some(peer) if peer.is_heard(now) => {
                     peer.registered = true;
                 }
                 _ => {
@@ -164,7 +171,7 @@
     pub fn charge_silence(&mut self, now: Instant) -> Vec<(HostId, Incarnation, Duration)> {
         let mut silent = Vec::new();
         for (host, peer) in &mut self.peers {
-            if now.saturating_duration_since(peer.heard) >= SILENT_AFTER {
+            if !peer.is_heard(now) {
                 let uncharged = now.saturating_duration_since(peer.charged);
                 peer.charged = now;
                 silent.push((host.clone(), peer.incarnation, uncharged));
@@ -180,23 +187,21 @@
 
     /// Tells whether a request waits for room at another host that can still meet its target.
     pub fn have_on_time(&self, now: Instant) -> bool {
-        let is_heard = |peer: &Peer| now.saturating_duration_since(peer.heard) < SILENT_AFTER;
         self.peers
             .values()
-            .any(|peer| peer.has_on_time && is_heard(peer))
+            .any(|peer| peer.has_on_time && peer.is_heard(now))
     }
 
     /// Returns the first by name of the other hosts that are not silent.
     pub fn first_heard(&self, now: Instant) -> Option<HostId> {
-        let is_heard = |peer: &Peer| now.saturating_duration_since(peer.heard) < SILENT_AFTER;
-        let heard = self.peers.iter().filter(|(_, peer)| is_heard(peer));
+        let heard = self.peers.iter().filter(|(_, peer)| peer.is_heard(now));
         heard.map(|(host, _)| host).min().cloned()
     }
 
     /// Returns the number of other hosts that are not silent.
     pub fn heard_count(&self, now: Instant) -> usize {
-        let is_heard = |peer: &&Peer| now.saturating_duration_since(peer.heard) < SILENT_AFTER;
-        self.peers.values().filter(is_heard).count()
+        let heard = self.peers.values().filter(|peer| peer.is_heard(now));
+        heard.count()
     }
 
     /// Returns the number of all hosts with this one.
--- a/src/process/forwarding/rooms.rs
+++ b/src/process/forwarding/rooms.rs
@@ -118,19 +118,6 @@
                 .any(|waiting| waiting.line.has_on_time(now))
         })
     }
-
-    /// Returns the number of requests that wait in each line, for the dump.
-    pub fn lengths(&self) -> Vec<(ModelId, usize)> {
-        let mut lengths = Vec::new();
-        for services in self.services.iter() {
-            lengths.extend(
-                services
-                    .iter()
-                    .map(|(id, waiting)| (id.clone(), waiting.line.len())),
-            );
-        }
-        lengths
-    }
 }
 
 impl Place {
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -161,6 +161,28 @@
     started
 }
 
+/// Refuses a request that no upstream served, of which `runs` attempts may have run; `last` tells why the last one failed.
+pub fn unserved(
+    cx: &ForwardServices,
+    call: &Call,
+    runs: u32,
+    upstream: &str,
+    last: &str,
+) -> Refusal {
+    if runs == 0 {
+        let message = format!(
+            "no {upstream} could take the request ({last}); repeat after the time in Retry-After"
+        );
+        return Refusal::not_run(RefusalKind::Overloaded, message).after(cx.settings.retry_after);
+    }
+    let kind = if cx.clock.now() >= call.deadline {
+        RefusalKind::UpstreamTimeout
+    } else {
+        RefusalKind::UpstreamFailed
+    };
+    Refusal::unknown(kind, format!("{last}; repeat it only if it may run twice"))
+}
+
 /// Charges the customer and waits for its rate; returns what was charged, for a refund if the request does not run.
 async fn charge(
     cx: &ForwardServices,
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -13,10 +13,9 @@
 use crate::process::forwarding::directory::Stage;
 use crate::process::forwarding::load::CallEnd;
 use crate::process::forwarding::selection::{Candidate, Need, Purpose};
-use crate::process::metrics;
 use crate::request::forward::attempt::{Attempt, AttemptFailure, Sending, choose, describe};
 use crate::request::forward::call::{Call, Part, TokenCounts};
-use crate::request::forward::flow::{ForwardServices, Started};
+use crate::request::forward::flow::{ForwardServices, Started, unserved};
 use crate::request::forward::generation::prefill::Ready;
 use crate::request::forward::link::UpstreamBody;
 use crate::request::forward::record::ForwardRecord;
@@ -196,8 +195,9 @@
 
     /// Takes as many retries as one more call needs; tells whether the budget has them.
     fn take_retry(&mut self, cause: &'static str) -> bool {
+        let now = self.cx.clock.now();
         while self.retries < self.arrived {
-            if !self.take_one_retry(cause) {
+            if !self.cx.state.take_retry(&self.service, cause, now) {
                 return false;
             }
             self.retries += 1;
@@ -205,18 +205,6 @@
         true
     }
 
-    fn take_one_retry(&self, cause: &'static str) -> bool {
-        let state = &self.cx.state;
-        let hosts = state.peers().host_count();
-        let taken = state
-            .retries
-            .take(&self.service, hosts, self.cx.clock.now());
-        if taken {
-            ::metrics::counter!(metrics::RETRIES, "cause" => cause).increment(1);
-        }
-        taken
-    }
-
     /// Asks a decode engine for the stream, from `last_event` on if given.
     ///
     /// # Errors
@@ -290,18 +278,6 @@
     }
 
     fn refusal(&self, last: &str) -> Refusal {
-        if self.runs == 0 {
-            let message = format!(
-                "no engine could take the request ({last}); repeat after the time in Retry-After"
-            );
-            return Refusal::not_run(RefusalKind::Overloaded, message)
-                .after(self.cx.settings.retry_after);
-        }
-        let kind = if self.cx.clock.now() >= self.call.deadline {
-            RefusalKind::UpstreamTimeout
-        } else {
-            RefusalKind::UpstreamFailed
-        };
-        Refusal::unknown(kind, format!("{last}; repeat it only if it may run twice"))
+        unserved(&self.cx, &self.call, self.runs, "engine", last)
     }
 }
--- a/src/request/forward/link.rs
+++ b/src/request/forward/link.rs
@@ -107,3 +107,9 @@
     }
     Ok(Some(parts.freeze()))
 }
+
+/// Makes a body of bytes that are all there.
+pub fn whole_body(bytes: Bytes) -> UpstreamBody {
+    let body = Full::new(bytes).map_err(|never| -> BodyError { match never {} });
+    body.boxed_unsync()
+}
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -3,22 +3,19 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use bytes::Bytes;
 use http::Response;
-use http_body_util::{BodyExt, Full};
 use smallvec::SmallVec;
 
 use crate::prelude::*;
 use crate::process::forwarding::directory::Stage;
 use crate::process::forwarding::load::CallEnd;
 use crate::process::forwarding::selection::{Candidate, Need, Purpose};
-use crate::process::metrics;
 use crate::request::forward::attempt::{
     Attempt, AttemptFailure, Sending, choose, describe, is_short,
 };
 use crate::request::forward::call::{Call, Part};
-use crate::request::forward::flow::ForwardServices;
-use crate::request::forward::link::{BodyError, SendFailure, UpstreamBody, read_whole};
+use crate::request::forward::flow::{ForwardServices, unserved};
+use crate::request::forward::link::{SendFailure, UpstreamBody, read_whole, whole_body};
 use crate::request::forward::record::ForwardRecord;
 use crate::version::forwarding::Repeat;
 
@@ -69,7 +66,7 @@
         let Some(candidate) = calls.choose() else {
             break;
         };
-        if calls.arrived > 0 && !calls.take_retry(now) {
+        if calls.arrived > 0 && !cx.state.take_retry(service, "call", now) {
             record.note("no retry left");
             break;
         }
@@ -98,7 +95,7 @@
     if let Some(response) = failed {
         return Ok(response);
     }
-    Err(calls.refusal(&last))
+    Err(unserved(cx, call, calls.runs, "upstream", &last))
 }
 
 impl Calls<'_> {
@@ -117,16 +114,6 @@
         })
     }
 
-    fn take_retry(&self, now: Instant) -> bool {
-        let state = &self.cx.state;
-        let hosts = state.peers().host_count();
-        let taken = state.retries.take(self.service, hosts, now);
-        if taken {
-            ::metrics::counter!(metrics::RETRIES, "cause" => "call").increment(1);
-        }
-        taken
-    }
-
     /// Returns the time until which an attempt is waited for: a part of what is left while another one may follow.
     fn patience(&self, now: Instant, repeatable: bool) -> Instant {
         let deadline = self.call.deadline;
@@ -180,27 +167,4 @@
         attempt.end(CallEnd::Failed);
         Err(AttemptFailure::Sending(failure))
     }
-
-    fn refusal(&self, last: &str) -> Refusal {
-        if self.runs == 0 {
-            let message = format!(
-                "no upstream could take the request ({last}); repeat after the time in Retry-After"
-            );
-            return Refusal::not_run(RefusalKind::Overloaded, message)
-                .after(self.cx.settings.retry_after);
-        }
-        let kind = if self.cx.clock.now() >= self.call.deadline {
-            RefusalKind::UpstreamTimeout
-        } else {
-            RefusalKind::UpstreamFailed
-        };
-        let message = format!("{last}; repeat it only if it may run twice");
-        Refusal::unknown(kind, message)
-    }
-}
-
-/// Makes a body of bytes that are all there.
-pub fn whole_body(bytes: Bytes) -> UpstreamBody {
-    let body = Full::new(bytes).map_err(|never| -> BodyError { match never {} });
-    body.boxed_unsync()
 }
--- a/tests/suite/forward_usage.rs
+++ b/tests/suite/forward_usage.rs
@@ -171,6 +171,16 @@
     assert!(levels[0].1 >= BURST as f64 * 0.99, "{levels:?}");
 }
 
+/// Returns the names and full accounts of three hosts that start at `now`.
+fn three_hosts(now: Instant) -> (Vec<HostId>, Vec<UsageBook>) {
+    let hosts: Vec<HostId> = vec!["a".into(), "b".into(), "c".into()];
+    let books: Vec<_> = hosts.iter().map(|_| book(1.0)).collect();
+    for book in &books {
+        book.open([&customer()], now);
+    }
+    (hosts, books)
+}
+
 proptest! {
     /// Guards against hosts that don't hear each other and together grant more than the rate and one burst each.
     #[test]
@@ -178,11 +188,7 @@
         requests in prop::collection::vec((0usize..3, 1u64..40, 100u64..6000), 1..400),
     ) {
         let now = Instant::now();
-        let hosts: Vec<HostId> = vec!["a".into(), "b".into(), "c".into()];
-        let books: Vec<_> = hosts.iter().map(|_| book(1.0)).collect();
-        for book in &books {
-            book.open([&customer()], now);
-        }
+        let (hosts, books) = three_hosts(now);
         let (mut at, mut granted) = (now, 0);
         for (host, gap, tokens) in requests {
             at += millis(gap);
@@ -206,11 +212,7 @@
         requests in prop::collection::vec((0usize..3, 1u64..40, 100u64..6000), 1..400),
     ) {
         let now = Instant::now();
-        let hosts: Vec<HostId> = vec!["a".into(), "b".into(), "c".into()];
-        let books: Vec<_> = hosts.iter().map(|_| book(1.0)).collect();
-        for book in &books {
-            book.open([&customer()], now);
-        }
+        let (hosts, books) = three_hosts(now);
         let (mut at, mut granted) = (now, 0);
         for (host, gap, tokens) in requests {
             at += millis(gap);
