Read the list of hosts after the registration and seldom from then on

Change: a host registers, then reads the list once, so that of two hosts that start together at least one finds the other and reports to it. Upstreams that left are reported at once, and a host that loses the others reads the list of upstreams sooner. Guarded by forward_watchers::hosts_are_listed_after_the_registration_and_seldom.

--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 
 use crate::connection::caller_listener::{CallerListener, StopPhase};
@@ -121,6 +121,7 @@
             clock: clock.clone(),
             settings: forwarding.clone(),
             registration,
+            registered: Notify::new(),
             unreadable: Mutex::default(),
         });
         let link = Arc::new(PooledLink(UpstreamPool::new()));
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -24,6 +24,9 @@
     pub directory_interval_per_host: Duration,
     /// The longest time between two reads.
     pub max_directory_interval: Duration,
+    /// The time between two reads of the list of hosts. Hosts that start report to those that they find in it, and hosts that stop
+    /// say so; the list only tells of hosts that are gone without a word.
+    pub host_list_interval: Duration,
     /// The time for which a watch waits for a change. Until it ends, a connection that went silent goes unnoticed, unless
     /// another host hears of a change.
     pub watch_wait: Duration,
@@ -68,6 +71,7 @@
             directory_interval: Duration::from_millis(800),
             directory_interval_per_host: Duration::from_millis(60),
             max_directory_interval: Duration::from_millis(2400),
+            host_list_interval: Duration::from_secs(10),
             watch_wait: Duration::from_secs(12),
             store_backoff: Duration::from_millis(200),
             max_store_backoff: Duration::from_millis(1500),
--- a/src/process/forwarding/watchers.rs
+++ b/src/process/forwarding/watchers.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use tokio::sync::Notify;
+
 use crate::prelude::*;
 use crate::process::forwarding::fleet::FleetState;
 use crate::process::forwarding::peers::Registration;
@@ -31,6 +33,8 @@
     pub settings: ForwardingSettings,
     /// This host as it registers.
     pub registration: Registration,
+    /// Wakes the task that reads the list of hosts, after each registration of this one.
+    pub registered: Notify,
     /// The registrations of upstreams that could not be read, to log each once.
     pub unreadable: Mutex<HashSet<String>>,
 }
@@ -153,8 +157,7 @@
                 Ok(entries) => {
                     backoff.succeeded();
                     self.apply_list(&entries, asked);
-                    let took = self.clock.now().saturating_duration_since(asked);
-                    tokio::time::sleep(self.list_interval().saturating_sub(took)).await;
+                    self.wait_for_next_list(asked).await;
                 }
                 Err(e) => {
                     self.state.list_failed();
@@ -164,6 +167,19 @@
         }
     }
 
+    /// Waits until the list that was asked for at `asked` is old. Looks anew how many other hosts are heard meanwhile: once this
+    /// host is cut off from them, no other one tells it what has left.
+    async fn wait_for_next_list(&self, asked: Instant) {
+        loop {
+            let age = self.clock.now().saturating_duration_since(asked);
+            let left = self.list_interval().saturating_sub(age);
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left.min(self.settings.directory_interval)).await;
+        }
+    }
+
     /// Returns the time between two reads of the list: longer where many other hosts read it, too, and report what has left.
     fn list_interval(&self) -> Duration {
         let settings = &self.settings;
@@ -193,6 +209,9 @@
             let how = if left.draining { "drains" } else { "is gone" };
             log::info!(target: "upstream", "{} of {} {how}; no new work", left.id, left.service);
         }
+        if !change.left.is_empty() {
+            self.state.report_soon();
+        }
         if change.kept > 0 {
             log::info!(target: "upstream", "{} upstreams missing shortly after the store's return; kept", change.kept);
         }
@@ -205,6 +224,7 @@
             match self.register_once().await {
                 Ok(lease) => {
                     backoff.succeeded();
+                    self.registered.notify_one();
                     self.keep_lease(lease, &mut backoff).await;
                 }
                 Err(e) => backoff.failed(&e).await,
@@ -258,38 +278,31 @@
         format!("{HOST_PREFIX}{}", self.registration.host)
     }
 
-    /// Follows the list of hosts for good.
+    /// Reads the list of hosts for good: once after this host has registered, so that of two hosts that start together at least
+    /// one finds the other and reports to it, and seldom from then on.
     pub async fn follow_hosts(&self) {
         let mut backoff = Backoff::new("list of hosts", &self.settings);
+        self.registered.notified().await;
+        let mut is_first = true;
         loop {
-            match self.store.list_as_of(HOST_PREFIX).await {
-                Ok(listed) => {
+            let listed = if is_first {
+                self.store.list(HOST_PREFIX).await
+            } else {
+                self.store.list_recent(HOST_PREFIX).await
+            };
+            match listed {
+                Ok(entries) => {
                     backoff.succeeded();
-                    self.apply_hosts(&listed.value);
-                    self.wait_for_hosts(listed.revision).await;
+                    self.apply_hosts(&entries);
+                    is_first = false;
+                    let spread = rand::random_range(0.8..1.2);
+                    tokio::time::sleep(self.settings.host_list_interval.mul_f64(spread)).await;
                 }
                 Err(e) => backoff.failed(&e).await,
             }
         }
     }
 
-    /// Waits until the list of hosts has changed, or can't be watched.
-    async fn wait_for_hosts(&self, mut after: Revision) {
-        let wait = self.settings.watch_wait;
-        loop {
-            match self.store.watch_as_of(HOST_PREFIX, after, wait).await {
-                Ok(changes) if changes.value.is_empty() => after = after.max(changes.revision),
-                Ok(_) => {
-                    // Changes come in groups when many hosts start.
-                    tokio::time::sleep(self.settings.store_backoff).await;
-                    return;
-                }
-                // The next read shows a failure that lasts.
-                Err(_) => return,
-            }
-        }
-    }
-
     fn apply_hosts(&self, entries: &[StoreEntry]) {
         let mut hosts = Vec::with_capacity(entries.len());
         for entry in entries {
--- a/src/process/store.rs
+++ b/src/process/store.rs
@@ -212,6 +212,14 @@
         })
     }
 
+    /// Reads all entries under `prefix` as they were some seconds ago at the earliest, which is cheaper for the store.
+    ///
+    /// # Errors
+    /// As for `list`.
+    async fn list_recent(&self, prefix: &str) -> Result<Vec<StoreEntry>, StoreError> {
+        self.list(prefix).await
+    }
+
     /// Waits as `watch` does, and returns the revision from which to continue.
     ///
     /// # Errors
--- /dev/null
+++ b/tests/suite/forward_watchers.rs
@@ -0,0 +1,141 @@
+//! How a forwarding host follows the platform's store.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::sync::Notify;
+
+use hibiscusspread::emulator::store::MemoryStore;
+use hibiscusspread::platform::StoredState;
+use hibiscusspread::prelude::*;
+use hibiscusspread::process::forwarding::fleet::FleetState;
+use hibiscusspread::process::forwarding::peers::Registration;
+use hibiscusspread::process::forwarding::settings::ForwardingSettings;
+use hibiscusspread::process::forwarding::watchers::Watchers;
+use hibiscusspread::process::shard::lock;
+
+/// A store that notes the calls made.
+struct NotingStore {
+    store: Arc<MemoryStore>,
+    calls: Mutex<Vec<String>>,
+}
+
+impl NotingStore {
+    fn note(&self, call: &str, key: &str) {
+        lock(&self.calls).push(format!("{call} {key}"));
+    }
+}
+
+#[async_trait]
+impl Store for NotingStore {
+    async fn get(&self, key: &str) -> Result<Option<StoreEntry>, StoreError> {
+        self.note("get", key);
+        self.store.get(key).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<StoreEntry>, StoreError> {
+        self.note("list", prefix);
+        self.store.list(prefix).await
+    }
+
+    async fn list_recent(&self, prefix: &str) -> Result<Vec<StoreEntry>, StoreError> {
+        self.note("list_recent", prefix);
+        self.store.list(prefix).await
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: Expected,
+        value: Vec<u8>,
+        lease: Option<LeaseId>,
+    ) -> Result<Revision, StoreError> {
+        self.note("swap", key);
+        self.store.swap(key, expected, value, lease).await
+    }
+
+    async fn delete(&self, key: &str, revision: Revision) -> Result<(), StoreError> {
+        self.store.delete(key, revision).await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.note("lease", "");
+        // The list must not be read before the slower registration is there.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        self.store.grant_lease(ttl).await
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.store.renew_lease(lease).await
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.store.revoke_lease(lease).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Vec<StoreChange>, StoreError> {
+        self.note("watch", prefix);
+        self.store.watch(prefix, after, wait).await
+    }
+}
+
+fn registration(host: &str, port: u16) -> Registration {
+    Registration {
+        host: host.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        incarnation: port.into(),
+    }
+}
+
+/// Guards against two hosts that start together and don't find each other, and against a call of the store by every host
+/// whenever another one starts or stops.
+#[tokio::test]
+async fn hosts_are_listed_after_the_registration_and_seldom() {
+    let store = Arc::new(NotingStore {
+        store: MemoryStore::new(Arc::new(SystemClock)),
+        calls: Mutex::default(),
+    });
+    let settings = ForwardingSettings {
+        host_list_interval: Duration::from_millis(400),
+        ..ForwardingSettings::default()
+    };
+    let state = Arc::new(FleetState::new(&settings));
+    let watchers = Arc::new(Watchers {
+        state: state.clone(),
+        store: store.clone(),
+        codec: Arc::new(StoredState),
+        clock: Arc::new(SystemClock),
+        settings,
+        registration: registration("host-1", 7001),
+        registered: Notify::new(),
+        unreadable: Mutex::default(),
+    });
+    let (a, b) = (watchers.clone(), watchers.clone());
+    let tasks = [
+        tokio::spawn(async move { a.follow_hosts().await }),
+        tokio::spawn(async move { b.register().await }),
+    ];
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let calls = lock(&store.calls).clone();
+    assert_eq!(calls, ["lease ", "swap hosts/host-1", "list hosts/"]);
+    for no in 2..6 {
+        let other = registration(&format!("host-{no}"), 7000 + no);
+        let value = serde_json::to_vec(&other).expect("JSON");
+        let key = format!("hosts/host-{no}");
+        let put = store.store.swap(&key, Expected::Absent, value, None);
+        put.await.expect("store answers");
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let calls = lock(&store.calls).clone();
+    assert_eq!(calls[3..], ["list_recent hosts/"]);
+    assert_eq!(state.peers().host_count(), 5);
+    for task in tasks {
+        task.abort();
+    }
+}
