Serve the newest request first while a line is overloaded

Cause: requests that can be on time got room in the order of their targets. Change: while a request of the line has waited for over half of its time, the newest goes first.

--- a/src/process/forwarding/line.rs
+++ b/src/process/forwarding/line.rs
@@ -1,8 +1,10 @@
 //! The line of requests that wait for room at an engine. Holds no I/O and reads no clock.
 //!
 //! Requests that can still meet their target go first, in the order of their targets; the others follow in the order of their
-//! arrival. A burst then makes some requests late, rather than all of them.
+//! arrival. Under overload that order would serve each request just before it becomes late, and its prompt takes the rest: so the
+//! newest goes first while the oldest has waited for long. A burst then makes some requests late, rather than all of them.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -16,6 +18,8 @@
 pub struct Waiter {
     /// The urgency; 0 is the most urgent.
     pub priority: u8,
+    /// When it began to wait.
+    pub since: Instant,
     /// The time until which room must be found to meet the target.
     pub on_time_until: Instant,
     /// The tokens that it needs room for.
@@ -27,8 +31,18 @@
     pub fn is_on_time(&self, now: Instant) -> bool {
         now < self.on_time_until
     }
+
+    /// Tells whether it has waited for so much of its time that the line is overloaded.
+    fn has_waited_long(&self, now: Instant) -> bool {
+        let allowed = self.on_time_until.saturating_duration_since(self.since);
+        now.saturating_duration_since(self.since) > allowed.mul_f64(OVERLOADED_PART)
+    }
 }
 
+/// The part of the time that a request may wait and be on time, after which the line counts as overloaded. Half of it leaves
+/// short queues in order and the other half for the newest.
+const OVERLOADED_PART: f64 = 0.5;
+
 /// The requests that wait for one service.
 #[derive(Debug, Default)]
 pub struct Line {
@@ -65,14 +79,17 @@
 
     /// Returns the request that is next.
     pub fn head(&self, now: Instant) -> Option<LineNo> {
+        let mut on_time = self.waiters.values().filter(|w| w.is_on_time(now));
+        let is_overloaded = on_time.any(|waiter| waiter.has_waited_long(now));
         let rank = |no: LineNo, waiter: &Waiter| {
             let late = !waiter.is_on_time(now);
-            let target = if late {
-                None
+            let target = (!late).then_some(waiter.on_time_until);
+            let (oldest, newest) = if is_overloaded {
+                (None, target)
             } else {
-                Some(waiter.on_time_until)
+                (target, None)
             };
-            (late, waiter.priority, target, no)
+            (late, waiter.priority, oldest, Reverse(newest), no)
         };
         self.waiters
             .iter()
--- a/src/request/forward/generation/room.rs
+++ b/src/request/forward/generation/room.rs
@@ -54,6 +54,7 @@
         let give_up = self.give_up_at()?;
         let waiter = Waiter {
             priority: self.call.priority(),
+            since: cx.clock.now(),
             on_time_until,
             tokens: self.memory_tokens(),
         };
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -289,6 +289,7 @@
     let mut line = Line::default();
     let waiter = |until: u64| Waiter {
         priority: 1,
+        since: now,
         on_time_until: now + millis(until),
         tokens: 5000,
     };
@@ -315,6 +316,7 @@
     let mut line = Line::default();
     let waiter = |priority| Waiter {
         priority,
+        since: now,
         on_time_until: now + millis(500),
         tokens: 5000,
     };
@@ -333,6 +335,7 @@
     for _ in 0..20 {
         line.enter(Waiter {
             priority: 1,
+            since: now,
             on_time_until: now,
             tokens: 5000,
         });
@@ -483,7 +486,7 @@
         let now = Instant::now();
         let mut line = Line::default();
         for (priority, until) in &targets {
-            line.enter(Waiter { priority: *priority, on_time_until: now + millis(*until), tokens: 1 });
+            line.enter(Waiter { priority: *priority, since: now, on_time_until: now + millis(*until), tokens: 1 });
         }
         let mut served = std::collections::HashSet::new();
         while let Some(head) = line.head(now + millis(1000)) {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -16,6 +16,7 @@
 mod fleet_measure;
 mod fleet_support;
 mod forward_fleet;
+mod forward_line;
 mod forward_path;
 mod forward_usage;
 mod forward_watchers;
