Reserve memory at the decode engine before a prompt is prefilled

Cause: hosts choose engines at the same time, each without what the others chose in the last milliseconds, so that engines refused streams whose prompt had been prefilled already. Change: the engine is asked to keep memory before the prefill, and decides who gets its last; up to four engines are asked one after the other. A stream that is refused although memory was kept has lost its prompt: its engine prefills anew, and the holder of the prompt rests for a second. A refusal for memory leaves an engine out for 200 ms, not longer and longer. A request counts with a quarter of the output that it may have: engines reported half of it as used on average, and memory that was kept for more stood idle. Guarded by forward_reservations.

--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -128,6 +128,8 @@
     Unreachable,
     /// It refused the call because it is full.
     Full,
+    /// It had no memory to reserve for a call.
+    NoMemory,
     /// It refused the call because it runs another stage than it registered.
     OtherStage,
     /// The call ended for a reason that says nothing of the upstream.
@@ -141,6 +143,10 @@
 /// The longest such time.
 const MAX_FULL_BLOCK: Duration = Duration::from_millis(1500);
 
+/// The time for which an engine that had no memory to reserve is not asked again. A decode engine ends a request about twice as
+/// seldom.
+const NO_MEMORY_BLOCK: Duration = Duration::from_millis(200);
+
 /// The time for which an engine that runs another stage than it registered gets no call; it registers the new one within its
 /// heartbeat, and the list is read about once a second.
 const OTHER_STAGE_BLOCK: Duration = Duration::from_secs(3);
@@ -214,6 +220,11 @@
         });
     }
 
+    /// Takes note of a sign of life besides an answer to a call.
+    pub fn note_heard(&self, instance: &Instance, now: Instant) {
+        self.with(instance, |load| load.heard = Some(now));
+    }
+
     /// Adds the time that a call of `units` took to the moving average.
     pub fn measured(&self, instance: &Instance, units: f64, took: Duration) {
         let newest = self.settings.newest;
@@ -253,6 +264,9 @@
                     let until = now + doubled.min(MAX_FULL_BLOCK);
                     load.blocked_until = load.blocked_until.max(Some(until));
                 }
+                CallEnd::NoMemory => {
+                    load.blocked_until = load.blocked_until.max(Some(now + NO_MEMORY_BLOCK));
+                }
                 CallEnd::OtherStage => load.blocked_until = Some(now + OTHER_STAGE_BLOCK),
                 CallEnd::Left => {}
             }
@@ -260,8 +274,20 @@
         let rest = match end {
             CallEnd::Unreachable | CallEnd::Failed => settings.block,
             CallEnd::OtherStage => OTHER_STAGE_BLOCK,
-            CallEnd::Answered | CallEnd::Full | CallEnd::Left => return,
+            CallEnd::Answered | CallEnd::Full | CallEnd::NoMemory | CallEnd::Left => return,
         };
+        self.tell(instance, rest, now);
+    }
+
+    /// Gives an upstream no work for `rest`, and has other hosts do the same.
+    pub fn rest(&self, instance: &Instance, rest: Duration, now: Instant) {
+        self.with(instance, |load| {
+            load.blocked_until = load.blocked_until.max(Some(now + rest));
+        });
+        self.tell(instance, rest, now);
+    }
+
+    fn tell(&self, instance: &Instance, rest: Duration, now: Instant) {
         let news = UnwellNews {
             upstream: instance.id.clone(),
             born: instance.born,
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use http::header::CONTENT_LENGTH;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, response};
 use http_body_util::Full;
 
 use crate::prelude::*;
@@ -45,6 +45,23 @@
         !matches!(self, Self::Sending(SendFailure::Unreachable { .. }))
     }
 
+    /// Reads a refusal of `instance`; drops an instance whose address another one has.
+    pub fn refused_by(cx: &ForwardServices, instance: &Instance, head: &response::Parts) -> Self {
+        let other = cx.codec.read_answer(head).upstream;
+        if let Some(other) = other.filter(|id| **id != *instance.id) {
+            log::info!(target: "upstream", "{} is gone: {other} has its address", instance.id);
+            cx.state.remove_upstream(instance);
+        }
+        let status = head.status;
+        let end = if status == StatusCode::MISDIRECTED_REQUEST {
+            CallEnd::OtherStage
+        } else {
+            CallEnd::Full
+        };
+        let cause = format!("status {status}");
+        Self::Rejected { cause, end }
+    }
+
     fn broken(cause: impl Into<String>) -> Self {
         Self::Sending(SendFailure::Broken {
             cause: cause.into(),
@@ -68,6 +85,8 @@
     pub part: Part,
     /// The last event that the caller has, if a stream is resumed.
     pub last_event: Option<String>,
+    /// The name of the memory that was reserved for the call.
+    pub reservation: Option<Arc<str>>,
     /// The age up to which the upstream's last sign of life lets a kept connection carry the call.
     pub fresh: Duration,
     /// The time at which the answer must be there.
@@ -171,6 +190,7 @@
             part: sending.part,
             time_left: call.deadline.saturating_duration_since(now),
             last_event: sending.last_event,
+            reservation: sending.reservation,
         };
         let mut req = http::Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
@@ -187,18 +207,7 @@
         let answer = cx.codec.read_answer(&head);
         let status = head.status;
         if answer.not_run {
-            let other = answer.upstream.filter(|id| **id != *self.instance.id);
-            if let Some(other) = other {
-                log::info!(target: "upstream", "{} is gone: {other} has its address", self.instance.id);
-                cx.state.remove_upstream(&self.instance);
-            }
-            let end = if status == StatusCode::MISDIRECTED_REQUEST {
-                CallEnd::OtherStage
-            } else {
-                CallEnd::Full
-            };
-            let cause = format!("status {status}");
-            return Err(AttemptFailure::Rejected { cause, end });
+            return Err(AttemptFailure::refused_by(cx, &self.instance, &head));
         }
         match &answer.id {
             Some(id) if **id == *call.head.id => {}
--- a/src/request/forward/call.rs
+++ b/src/request/forward/call.rs
@@ -22,9 +22,9 @@
 
 impl TokenCounts {
     /// Returns the memory in tokens that a running request takes on average: it grows with each token generated, and most
-    /// requests generate less than they may.
+    /// requests generate about half of what they may.
     pub fn memory(self) -> Tokens {
-        self.prompt.saturating_add(self.output / 2)
+        self.prompt.saturating_add(self.output / 4)
     }
 
     /// Returns the sum, which is charged.
@@ -129,6 +129,19 @@
     pub time_left: Duration,
     /// The last event that the caller has, if a stream is resumed.
     pub last_event: Option<String>,
+    /// The name of the memory that was reserved for the call.
+    pub reservation: Option<Arc<str>>,
+}
+
+/// Memory to reserve at an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReservationRequest {
+    /// The engine that is meant; another one at its address refuses.
+    pub upstream: UpstreamId,
+    /// The tokens to reserve memory for.
+    pub tokens: Tokens,
+    /// The time after which the engine gives the memory to others.
+    pub ttl: Duration,
 }
 
 /// What the head of an upstream's answer says, apart from its encoding.
--- a/src/request/forward/codec.rs
+++ b/src/request/forward/codec.rs
@@ -1,5 +1,6 @@
 //! The border to the encodings of forwarded requests.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,7 +9,9 @@
 
 use crate::prelude::*;
 use crate::process::forwarding::directory::Stage;
-use crate::request::forward::call::{AnswerHead, AttemptHead, Call, CallHead, Prefilled};
+use crate::request::forward::call::{
+    AnswerHead, AttemptHead, Call, CallHead, Prefilled, ReservationRequest,
+};
 
 /// An order to an engine to change its stage.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,6 +50,18 @@
     /// Returns the path at which a DELETE frees a prefilled prompt.
     fn release_path(&self, handle: &str) -> String;
 
+    /// Writes a call that reserves memory at an engine.
+    fn write_reservation(&self, reservation: &ReservationRequest) -> Request<Full<Bytes>>;
+
+    /// Reads the name of the reserved memory.
+    ///
+    /// # Errors
+    /// Returns what is wrong with the answer.
+    fn read_reservation(&self, body: &[u8]) -> Result<Arc<str>, String>;
+
+    /// Returns the path at which a DELETE gives reserved memory back.
+    fn cancel_path(&self, reservation: &str) -> String;
+
     /// Writes the time after which a caller may repeat a refused request.
     fn retry_after(&self, wait: Duration) -> Option<HeaderValue>;
 
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -1,6 +1,7 @@
 //! A generation: the prompt is prefilled at one engine, the tokens stream from another.
 
 mod prefill;
+mod reservation;
 mod room;
 
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 use crate::request::forward::call::{Call, Part, TokenCounts};
 use crate::request::forward::flow::{ForwardServices, Started, unserved};
 use crate::request::forward::generation::prefill::Ready;
+use crate::request::forward::generation::reservation::{Reservation, Room};
 use crate::request::forward::link::UpstreamBody;
 use crate::request::forward::record::ForwardRecord;
 use crate::request::forward::stream::EventRelay;
@@ -63,10 +65,11 @@
     };
     generation.check_end()?;
     let room = generation.wait_for_room(record).await?;
-    let mut ready = if room.prefills() {
+    let mut ready = if room.attempt.prefills() {
         None
     } else {
-        generation.prefill(&room.instance.data_centre, record).await
+        let near = room.attempt.instance.data_centre.clone();
+        generation.prefill(&near, record).await
     };
     let mut room = Some(room);
     let mut last = "no engine takes new work".to_owned();
@@ -85,6 +88,11 @@
                 return Ok(Started::Whole(response));
             }
             Err(DecodeFailure::NoEngine) => break,
+            Err(DecodeFailure::PromptLost(failure)) => {
+                record.note(format_args!("prefilled prompt lost: {failure}"));
+                last = failure.to_string();
+                ready = None;
+            }
             Err(DecodeFailure::Attempt(failure)) => {
                 record.note(&failure);
                 last = failure.to_string();
@@ -107,6 +115,8 @@
     NoEngine,
     /// The attempt failed.
     Attempt(AttemptFailure),
+    /// The engine kept memory for the request and refused it: the prefilled prompt can't be fetched.
+    PromptLost(AttemptFailure),
 }
 
 impl Generation {
@@ -220,29 +230,34 @@
     /// Asks the engine that holds `room` for the stream, or the best other one.
     async fn decode(
         &mut self,
-        room: Option<Attempt>,
+        room: Option<Room>,
         ready: Option<&mut Ready>,
         last_event: Option<String>,
         record: &mut ForwardRecord,
     ) -> Result<(Response<UpstreamBody>, Attempt), DecodeFailure> {
-        // The engine may have begun to leave while the prompt was prefilled.
-        let still_takes = |room: &Attempt| {
+        // The engine may have begun to leave while the prompt was prefilled, or no longer keeps memory for it.
+        let still_takes = |room: &Room| {
             let state = &self.cx.state;
-            state.with_directory(|d| d.is_taker(&room.instance))
+            let is_taker = state.with_directory(|d| d.is_taker(&room.attempt.instance));
+            is_taker && !room.has_lapsed()
         };
         let room = match room.filter(still_takes) {
             Some(room) => Some(room),
-            None => self.next_engine(ready.as_deref(), record),
+            None => self.next_room(ready.as_deref(), record).await,
         };
-        let mut attempt = room.ok_or(DecodeFailure::NoEngine)?;
+        let mut room = room.ok_or(DecodeFailure::NoEngine)?;
         if !self.take_retry("decode") {
             record.note("no retry left");
             return Err(DecodeFailure::NoEngine);
         }
+        let reservation = room.reservation.as_mut().and_then(Reservation::take);
+        let is_reserved = reservation.is_some();
+        let mut attempt = room.attempt;
         self.tried.push(attempt.instance.id.clone());
         let sending = Sending {
             part: ready.as_ref().map_or(Part::Whole, |ready| ready.part()),
             last_event,
+            reservation,
             fresh: self.cx.settings.fresh_stream,
             until: self.call.deadline,
         };
@@ -259,22 +274,56 @@
             Err(failure) => {
                 self.arrived += u32::from(failure.has_arrived());
                 self.runs += u32::from(failure.run() == Run::Unknown);
-                Err(DecodeFailure::Attempt(failure))
+                let is_full = matches!(
+                    failure,
+                    AttemptFailure::Rejected {
+                        end: CallEnd::Full,
+                        ..
+                    }
+                );
+                match ready {
+                    Some(ready) if is_full && is_reserved => {
+                        let rest = self.cx.settings.lost_prompt_rest;
+                        let loads = &self.cx.state.loads;
+                        loads.rest(&ready.holder, rest, self.cx.clock.now());
+                        Err(DecodeFailure::PromptLost(failure))
+                    }
+                    _ => Err(DecodeFailure::Attempt(failure)),
+                }
             }
         }
     }
 
-    /// Reserves room at an engine that was not tried yet, however full it is.
-    fn next_engine(&self, ready: Option<&Ready>, record: &mut ForwardRecord) -> Option<Attempt> {
+    /// Reserves room at an engine that was not tried yet. If none has memory to spare, the best one is asked all the same.
+    async fn next_room(
+        &mut self,
+        ready: Option<&Ready>,
+        record: &mut ForwardRecord,
+    ) -> Option<Room> {
         let near = ready.map_or(&self.cx.data_centre, |ready| &ready.holder.data_centre);
+        let tokens = self.memory_tokens();
         let is_new = |candidate: &Candidate| !self.tried.contains(&candidate.instance.id);
+        if let Some(ttl) = self.engine.reservation_ttl {
+            let is_well = |candidate: &Candidate| is_new(candidate) && !candidate.load.is_blocked;
+            for _ in 0..self.cx.settings.max_reservations {
+                let Some(candidate) = self.choose(Purpose::Decode, near, is_well) else {
+                    break;
+                };
+                record.note(describe(Purpose::Decode, &candidate));
+                let attempt = Attempt::begin(&self.cx, candidate.instance, tokens);
+                match Room::reserve(&self.cx, attempt, tokens, ttl).await {
+                    Ok(room) => return Some(room),
+                    Err(failure) => record.note(format_args!("no memory reserved: {failure}")),
+                }
+            }
+        }
         let candidate = self.choose(Purpose::Decode, near, is_new)?;
         record.note(describe(Purpose::Decode, &candidate));
-        Some(Attempt::begin(
-            &self.cx,
-            candidate.instance,
-            self.memory_tokens(),
-        ))
+        let attempt = Attempt::begin(&self.cx, candidate.instance, tokens);
+        Some(Room {
+            attempt,
+            reservation: None,
+        })
     }
 
     fn refusal(&self, last: &str) -> Refusal {
--- a/src/request/forward/generation/prefill.rs
+++ b/src/request/forward/generation/prefill.rs
@@ -1,11 +1,8 @@
 //! Prefilled prompts.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::Request;
-use http_body_util::Full;
 use smallvec::SmallVec;
 
 use crate::prelude::*;
@@ -16,7 +13,8 @@
 use crate::request::forward::call::Part;
 use crate::request::forward::flow::ForwardServices;
 use crate::request::forward::generation::Generation;
-use crate::request::forward::link::{SendFailure, SendLimits, read_whole};
+use crate::request::forward::generation::reservation::release;
+use crate::request::forward::link::{SendFailure, read_whole};
 use crate::request::forward::record::ForwardRecord;
 
 /// The largest answer to a prefill, in bytes.
@@ -25,9 +23,6 @@
 /// The prefills tried before the decode engine is asked to run the prompt itself.
 const MAX_PREFILLS: u32 = 3;
 
-/// The time for the call that frees a prefilled prompt; it lapses by itself about as soon.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// A prefilled prompt. Dropping it frees it at its engine, unless a decode engine took it.
 pub(super) struct Ready {
     cx: Arc<ForwardServices>,
@@ -55,23 +50,7 @@
             return;
         }
         let path = self.cx.codec.release_path(&self.handle);
-        let (cx, address) = (self.cx.clone(), self.holder.address);
-        let release = async move { release(&cx, address, &path).await };
-        self.cx.tasks.spawn(release);
-    }
-}
-
-async fn release(cx: &ForwardServices, address: SocketAddr, path: &str) {
-    let req = Request::delete(path).body(Full::default());
-    let Ok(req) = req else { return };
-    let limits = SendLimits {
-        connect: cx.settings.connect_timeout,
-        deadline: cx.clock.now() + RELEASE_TIMEOUT,
-        reuse: true,
-    };
-    if let Err(failure) = cx.link.send(address, req, limits).await {
-        // The engine drops the prompt by itself when its time is over.
-        log::debug!(target: "upstream", "prefilled prompt at {address} not freed: {failure}");
+        release(&self.cx, &self.holder, path);
     }
 }
 
@@ -124,6 +103,7 @@
         let sending = Sending {
             part: Part::Prefill,
             last_event: None,
+            reservation: None,
             fresh: cx.settings.fresh_repeatable,
             until,
         };
--- a/src/request/forward/generation/room.rs
+++ b/src/request/forward/generation/room.rs
@@ -8,6 +8,7 @@
 use crate::process::forwarding::selection::{Candidate, Purpose};
 use crate::request::forward::attempt::{Attempt, describe};
 use crate::request::forward::generation::Generation;
+use crate::request::forward::generation::reservation::Room;
 use crate::request::forward::record::ForwardRecord;
 
 /// Why a request has no room yet.
@@ -40,13 +41,13 @@
     pub(super) async fn wait_for_room(
         &mut self,
         record: &mut ForwardRecord,
-    ) -> Result<Attempt, Refusal> {
+    ) -> Result<Room, Refusal> {
         let cx = self.cx.clone();
         let rooms = &cx.state.rooms;
         let on_time_until = self.on_time_until();
         let mut cause = NoRoom::Behind;
         if rooms.is_empty(&self.service) {
-            match self.reserve(on_time_until, record) {
+            match self.reserve(on_time_until, record).await {
                 Ok(room) => return Ok(room),
                 Err(no_room) => cause = no_room,
             }
@@ -63,7 +64,7 @@
         cx.state.report_soon();
         loop {
             if place.is_head() {
-                match self.reserve(on_time_until, record) {
+                match self.reserve(on_time_until, record).await {
                     Ok(room) => {
                         cx.state.report_soon();
                         return Ok(room);
@@ -165,12 +166,36 @@
         })
     }
 
-    /// Reserves room at the best decode engine that has it.
-    fn reserve(
+    /// Reserves room at the best decode engine that has it. An engine that has less memory left than this host knows refuses,
+    /// and the next one is asked.
+    async fn reserve(
         &mut self,
         on_time_until: Instant,
         record: &mut ForwardRecord,
-    ) -> Result<Attempt, NoRoom> {
+    ) -> Result<Room, NoRoom> {
+        for _ in 0..self.cx.settings.max_reservations {
+            let (attempt, is_roomy) = self.place(on_time_until, record)?;
+            let ttl = self.engine.reservation_ttl.filter(|_| !is_roomy);
+            let Some(ttl) = ttl else {
+                return Ok(Room {
+                    attempt,
+                    reservation: None,
+                });
+            };
+            match Room::reserve(&self.cx, attempt, self.memory_tokens(), ttl).await {
+                Ok(room) => return Ok(room),
+                Err(failure) => record.note(format_args!("no memory reserved: {failure}")),
+            }
+        }
+        Err(NoRoom::EnginesFull)
+    }
+
+    /// Takes a place at the best decode engine that has room as far as this host knows; tells whether it has plenty.
+    fn place(
+        &mut self,
+        on_time_until: Instant,
+        record: &mut ForwardRecord,
+    ) -> Result<(Attempt, bool), NoRoom> {
         let settings = &self.cx.settings;
         let is_on_time = self.cx.clock.now() < on_time_until;
         let filled = if is_on_time {
@@ -206,11 +231,9 @@
         })?;
         record.note(describe(Purpose::Decode, &candidate));
         let prompts = if by_itself { prompt } else { 0 };
-        Ok(Attempt::begin_with_prompt(
-            &self.cx,
-            candidate.instance,
-            tokens,
-            prompts,
-        ))
+        let used = (candidate.load.work().tokens + tokens) as f64;
+        let is_roomy = used < self.engine.kv_tokens as f64 * settings.reserve_from;
+        let attempt = Attempt::begin_with_prompt(&self.cx, candidate.instance, tokens, prompts);
+        Ok((attempt, is_roomy))
     }
 }
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -140,6 +140,7 @@
         let sending = Sending {
             part: Part::Whole,
             last_event: None,
+            reservation: None,
             fresh,
             until,
         };
--- a/src/request/forward/settings.rs
+++ b/src/request/forward/settings.rs
@@ -25,6 +25,18 @@
     pub resume_gap: Duration,
     /// The age from which a prefilled prompt is not sent for any more, as a part of the time for which it is kept.
     pub handle_part: f64,
+    /// The part of the time for which engines keep memory at most, for which it is reserved before the prompt is prefilled. The
+    /// rest covers the way.
+    pub reservation_part: f64,
+    /// The part of an engine's memory in use, as this host knows it, from which memory is reserved. Below it a request certainly
+    /// finds room.
+    pub reserve_from: f64,
+    /// The time for which a call that reserves memory is waited for; engines answer it at once.
+    pub reservation_timeout: Duration,
+    /// The engines asked for memory one after the other before the request waits again.
+    pub max_reservations: u32,
+    /// The time for which an engine prefills no further prompts for this host after one that it held could not be fetched.
+    pub lost_prompt_rest: Duration,
     /// The part of a route's target for which a request may wait for its customer's rate, and a stream for room. The rest is
     /// needed for the prompt and the first event.
     pub wait_part: f64,
@@ -72,14 +84,19 @@
             slow_prefill_rate: 12_000.0,
             resume_gap: Duration::from_millis(1500),
             handle_part: 0.8,
+            reservation_part: 0.95,
+            reserve_from: 0.0,
+            reservation_timeout: Duration::from_millis(250),
+            max_reservations: 4,
+            lost_prompt_rest: Duration::from_secs(1),
             wait_part: 0.6,
             default_target: Duration::from_secs(1),
             late_wait_part: 0.75,
             event_patience: Duration::from_secs(2),
             event_patience_targets: 4,
             event_patience_gaps: 8,
-            filled: 1.05,
-            filled_late: 0.97,
+            filled: 1.0,
+            filled_late: 0.95,
             prefill_backlog: Duration::from_millis(350),
             decode_prefill_tokens: 6500,
             retry_after: Duration::from_millis(500),
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -162,7 +162,9 @@
                     return false;
                 }
                 Err(DecodeFailure::NoEngine) => return false,
-                Err(DecodeFailure::Attempt(failure)) => record.note(&failure),
+                Err(DecodeFailure::Attempt(failure) | DecodeFailure::PromptLost(failure)) => {
+                    record.note(&failure);
+                }
             }
         }
         false
--- a/src/version/forwarding.rs
+++ b/src/version/forwarding.rs
@@ -96,6 +96,8 @@
     pub kv_tokens: Tokens,
     /// The time for which a prefilled prompt is kept.
     pub handle_ttl: Duration,
+    /// The longest time for which memory can be reserved; `None` if the engines take no reservations.
+    pub reservation_ttl: Option<Duration>,
 }
 
 /// A service.
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -32,6 +32,11 @@
     }
 }
 
+/// A decode engine in data centre `x`.
+pub fn decode_instance(id: &str) -> Instance {
+    instance(id, Stage::Decode, "x")
+}
+
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
--- /dev/null
+++ b/tests/suite/forward_reservations.rs
@@ -0,0 +1,161 @@
+//! Memory that engines keep for requests whose prompt is prefilled elsewhere meanwhile.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use serde_json::json;
+
+use hibiscusspread::platform::StoredState;
+use hibiscusspread::platform::requests::RequestHeaders;
+use hibiscusspread::process::forwarding::load::{CallEnd, LoadBook, LoadSettings, Work};
+use hibiscusspread::process::forwarding::state_source::StateCodec;
+use hibiscusspread::request::forward::call::ReservationRequest;
+use hibiscusspread::request::forward::codec::CallCodec;
+
+use crate::forward_fleet::decode_instance;
+use crate::platform_stand_in::{
+    Behaviour, EVENTS, Platform, Seen, configuration_with_reservations, event, wait_until,
+};
+
+fn count(seen: &[Seen], line: &str) -> usize {
+    seen.iter()
+        .filter(|seen| seen.line.starts_with(line))
+        .count()
+}
+
+/// Guards against prompts that are prefilled in vain while no decode engine has memory for them.
+#[tokio::test]
+async fn nothing_is_prefilled_while_no_engine_has_memory() {
+    let platform = Platform::start_with_reservations().await;
+    platform.runner("d-0").behave(Behaviour::Shed);
+    platform.runner("d-1").behave(Behaviour::Shed);
+    let mut req = platform.request("POST", "/text/1");
+    req.headers_mut()
+        .insert("x-deadline-ms", "600".parse().expect("value"));
+    let answer = platform.send(req).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(answer.body.contains("not_run"), "{}", answer.body);
+    assert!(platform.seen_by("p").is_empty());
+    assert_eq!(count(&platform.seen_by("d"), "POST /text/"), 0);
+}
+
+/// Guards against a stream that is sent without the memory that was reserved for it, or one that reserves some and leaves it.
+#[tokio::test]
+async fn stream_uses_the_memory_that_was_reserved() {
+    let platform = Platform::start_with_reservations().await;
+    platform.runner("d-0").behave(Behaviour::Shed);
+    for _ in 0..3 {
+        let answer = platform.call("POST", "/text/1").await;
+        assert_eq!((answer.status, answer.whole), (200, true));
+    }
+    let seen = platform.seen_by("d-1");
+    assert_eq!(count(&seen, "POST /api/hold-take"), 3);
+    let streams = seen.iter().filter(|seen| seen.line == "POST /text/1");
+    for stream in streams {
+        assert_eq!(stream.header("x-kv-hold"), Some("r-d-1"));
+        assert!(stream.header("x-kv-source").is_some());
+    }
+    assert_eq!(count(&seen, "DELETE"), 0);
+    assert_eq!(count(&platform.seen_by("p"), "POST /text/"), 3);
+}
+
+/// Guards against memory that stays reserved for a caller that has left.
+#[tokio::test]
+async fn memory_of_a_caller_that_left_is_given_back() {
+    let platform = Platform::start_with_reservations().await;
+    platform.runner("p-0").behave(Behaviour::Hang);
+    platform.runner("p-1").behave(Behaviour::Hang);
+    let call = platform.call("POST", "/text/1");
+    let left = tokio::time::timeout(Duration::from_millis(150), call).await;
+    assert!(left.is_err());
+    wait_until("memory is given back", || {
+        count(&platform.seen_by("d"), "DELETE /api/hold-drop/r-d-") == 1
+    })
+    .await;
+}
+
+/// Guards against streams that fail because their prefilled prompt can't be fetched, and against more prompts for its holder.
+#[tokio::test]
+async fn stream_whose_prompt_is_lost_is_prefilled_by_its_engine() {
+    let platform = Platform::start_with_reservations().await;
+    platform.runner("d-0").behave(Behaviour::LosePrompt);
+    platform.runner("d-1").behave(Behaviour::LosePrompt);
+    let answer = platform.call("POST", "/text/1").await;
+    let whole: String = (0..EVENTS).map(event).collect();
+    assert_eq!((answer.status, answer.body), (200, whole));
+    let holder = platform.seen_by("p")[0].runner.clone();
+    platform.call("POST", "/text/1").await;
+    let prefills = platform.seen_by("p");
+    let prefills = prefills.iter().filter(|seen| seen.line == "POST /text/1");
+    assert_eq!(prefills.filter(|seen| seen.runner == holder).count(), 1);
+}
+
+/// Guards against a bound on reservations that is taken for an unlimited one, and against reservations of engines without any.
+#[test]
+fn bound_on_reservations_is_read() {
+    let read = |hold: serde_json::Value| {
+        let mut document = configuration_with_reservations(1);
+        document["services"][0]["engine"]["holdMs"] = hold;
+        let value = serde_json::to_vec(&document).expect("JSON");
+        let table = StoredState.read_configuration(&value);
+        table.map(|table| {
+            let engine = table.services["writers"].engine;
+            engine.expect("engine").reservation_ttl
+        })
+    };
+    let two_seconds = Some(Duration::from_secs(2));
+    assert_eq!(read(json!(2000)).expect("valid"), two_seconds);
+    assert_eq!(read(json!(0)).expect("valid"), None);
+    assert_eq!(read(json!(null)).expect("valid"), None);
+    assert!(read(json!(-1)).is_err());
+    assert!(read(json!("long")).is_err());
+}
+
+/// Guards against a reservation that any engine at the address would make.
+#[test]
+fn reservation_names_its_engine() {
+    let req = RequestHeaders.write_reservation(&ReservationRequest {
+        upstream: "i-1".into(),
+        tokens: 5200,
+        ttl: Duration::from_millis(1900),
+    });
+    assert_eq!(req.method(), http::Method::POST);
+    assert_eq!(req.uri().path(), "/api/hold-take");
+    assert_eq!(req.headers()["x-expect-instance"], "i-1");
+}
+
+proptest! {
+    /// Guards against hostile answers to a reservation that stop a host.
+    #[test]
+    fn any_answer_to_a_reservation_is_read_or_refused(body in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let read = RequestHeaders.read_reservation(&body);
+        let parsed = serde_json::from_slice::<serde_json::Value>(&body).ok();
+        let has_name = parsed.is_some_and(|value| value["hold"].is_string());
+        prop_assert_eq!(read.is_ok(), has_name);
+    }
+}
+
+/// Guards against engines that are left out for longer and longer because they had no memory for a moment.
+#[test]
+fn engine_without_memory_is_asked_again_soon() {
+    let now = Instant::now();
+    let loads = LoadBook::new(LoadSettings::default());
+    let engine = decode_instance("a");
+    let work = Work {
+        calls: 1,
+        tokens: 5000,
+        ..Work::default()
+    };
+    for _ in 0..8 {
+        loads.begin(&engine, work);
+        loads.end(&engine, 1, work, CallEnd::NoMemory, now);
+    }
+    assert!(loads.view(&engine, now).is_blocked);
+    assert!(
+        !loads
+            .view(&engine, now + Duration::from_millis(250))
+            .is_blocked
+    );
+    assert!(loads.unwell_news(now).is_empty());
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod forward_fleet;
 mod forward_line;
 mod forward_path;
+mod forward_reservations;
 mod forward_usage;
 mod forward_watchers;
 mod freshness;
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -169,6 +169,8 @@
     Slow,
     /// It never answers.
     Hang,
+    /// It refuses streams whose prompt was prefilled elsewhere, as if the prompt could not be fetched.
+    LosePrompt,
 }
 
 /// A request as a runner saw it.
@@ -264,6 +266,12 @@
             return Some(answer_json(200, &json!({})));
         }
         let behaviour = *lock(&self.behaviour);
+        if req.uri().path() == "/api/hold-take" && behaviour != Behaviour::Shed {
+            return Some(answer_json(
+                200,
+                &json!({ "hold": format!("r-{}", self.id) }),
+            ));
+        }
         let status = |status: u16, header: Option<(&'static str, &str)>| {
             let mut response = bytes(Bytes::new());
             *response.status_mut() = status.try_into().expect("status");
@@ -276,6 +284,9 @@
         };
         match behaviour {
             Behaviour::Shed => return status(503, Some(("x-not-run", "1"))),
+            Behaviour::LosePrompt if req.headers().contains_key("x-kv-source") => {
+                return status(503, Some(("x-not-run", "1")));
+            }
             Behaviour::VagueRefusal => return status(503, None),
             Behaviour::OtherInstance => return status(421, Some(("x-instance-id", "i-other"))),
             Behaviour::LoseAnswer => return None,
@@ -380,7 +391,24 @@
     })
 }
 
+/// The configuration with engines that reserve memory.
+pub fn configuration_with_reservations(version: u64) -> Value {
+    let mut document = configuration(version);
+    document["services"][0]["engine"]["holdMs"] = 2000.into();
+    document
+}
+
 impl Platform {
+    /// Starts the stand-ins with engines that reserve memory, and a host, and waits until it is ready.
+    pub async fn start_with_reservations() -> Self {
+        let platform = Self::start_unconfigured().await;
+        platform
+            .configure(&configuration_with_reservations(1))
+            .await;
+        platform.ready().await;
+        platform
+    }
+
     /// Starts the stand-ins and a host, and waits until it is ready.
     pub async fn start() -> Self {
         let platform = Self::start_unconfigured().await;
