--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -1,6 +1,7 @@
 //! Stand-ins that speak the platform's protocol: the store, engines and plain services, and a caller.
 
 use std::net::SocketAddr;
+use std::ops::Deref;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -184,6 +185,8 @@
     pub headers: http::HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// Whether the runner began to work on it, or left open whether it did.
+    pub ran: bool,
 }
 
 impl Seen {
@@ -206,6 +209,9 @@
 /// The events of a whole stream.
 pub const EVENTS: usize = 8;
 
+/// The start of an event whose rest never comes, which a truncated stream ends with.
+pub const PARTIAL_EVENT: &str = "id: 99\nda";
+
 /// Returns the text of one event.
 pub fn event(no: usize) -> String {
     format!("id: {no}\ndata: token {no}\n\n")
@@ -229,8 +235,7 @@
             .map(|no| Ok(Frame::data(Bytes::from(event(no)))))
             .collect();
         if broken {
-            // The start of one more event, whose rest never comes.
-            chunks.push(Ok(Frame::data(Bytes::from("id: 99\nda"))));
+            chunks.push(Ok(Frame::data(Bytes::from(PARTIAL_EVENT))));
             chunks.push(Err(std::io::Error::other("crashed")));
         }
         let paced = stream::iter(chunks).then(|chunk| async {
@@ -253,19 +258,31 @@
     }
 }
 
+/// Tells whether a runner that treats requests so begins to work on `req`, or leaves it open.
+fn runs(req: &WholeRequest, behaviour: Behaviour) -> bool {
+    let is_own_call = req.method() == http::Method::DELETE || req.uri().path().starts_with("/api/");
+    let is_refused = match behaviour {
+        Behaviour::Shed | Behaviour::OtherInstance => true,
+        Behaviour::LosePrompt => req.headers().contains_key("x-kv-source"),
+        _ => false,
+    };
+    !is_own_call && !is_refused && !req.headers().contains_key("x-stage")
+}
+
 #[async_trait]
 impl Handler for Runner {
     async fn answer(&self, req: WholeRequest) -> Option<Response<Body>> {
+        let behaviour = *lock(&self.behaviour);
         lock(&self.seen).push(Seen {
             runner: self.id.clone(),
             line: format!("{} {}", req.method(), req.uri()),
             headers: req.headers().clone(),
             body: req.body().clone(),
+            ran: runs(&req, behaviour),
         });
         if req.method() == http::Method::DELETE {
             return Some(answer_json(200, &json!({})));
         }
-        let behaviour = *lock(&self.behaviour);
         if req.uri().path() == "/api/hold-take" && behaviour != Behaviour::Shed {
             return Some(answer_json(
                 200,
@@ -344,19 +361,36 @@
     pub whole: bool,
 }
 
-/// A host before stand-ins for the store, two prefill and two decode engines and two runners of a plain service.
-pub struct Platform {
-    /// The host; taken by tests that stop it.
-    pub host: Option<ForwardHost>,
-    /// The callers' address.
-    pub address: SocketAddr,
+/// Stand-ins for the store, two prefill and two decode engines and two runners of a plain service.
+pub struct StandIns {
     /// The store.
     pub store: Arc<MemoryStore>,
+    /// The address of the store.
+    pub store_address: SocketAddr,
     /// The runners: `p-0`, `p-1`, `d-0`, `d-1`, `s-0`, `s-1`.
     pub runners: Vec<Arc<Runner>>,
+    /// The addresses under which the runners are registered, in the same order.
+    pub addresses: Vec<SocketAddr>,
     /// What the runners saw.
     pub seen: SeenLog,
-    servers: Vec<EmulatorServer>,
+    _servers: Vec<EmulatorServer>,
+}
+
+/// A host before the stand-ins.
+pub struct Platform {
+    /// The host; taken by tests that stop it.
+    pub host: Option<ForwardHost>,
+    /// The callers' address.
+    pub address: SocketAddr,
+    stand_ins: StandIns,
+}
+
+impl Deref for Platform {
+    type Target = StandIns;
+
+    fn deref(&self) -> &StandIns {
+        &self.stand_ins
+    }
 }
 
 /// The configuration of the stand-in.
@@ -419,32 +453,9 @@
 
     /// Starts the stand-ins and a host, without a configuration.
     pub async fn start_unconfigured() -> Self {
-        let store = MemoryStore::new(Arc::new(SystemClock));
-        let api = EmulatorServer::start(any_loopback(), Arc::new(StoreApi(store.clone())));
-        let api = api.await.expect("store starts");
-        let store_address = api.address();
-        let seen = SeenLog::default();
-        let (mut runners, mut servers) = (Vec::new(), vec![api]);
-        for (id, service, stage) in [
-            ("p-0", "writers", Some("prefill")),
-            ("p-1", "writers", Some("prefill")),
-            ("d-0", "writers", Some("decode")),
-            ("d-1", "writers", Some("decode")),
-            ("s-0", "desk", None),
-            ("s-1", "desk", None),
-        ] {
-            let runner = Arc::new(Runner {
-                id: id.to_owned(),
-                behaviour: Mutex::new(Behaviour::Run),
-                seen: seen.clone(),
-            });
-            let server = EmulatorServer::start(any_loopback(), runner.clone()).await;
-            let server = server.expect("runner starts");
-            let entry = entry(service, server.address(), stage, "ready");
-            put(&store, &format!("servers/{id}"), &entry).await;
-            runners.push(runner);
-            servers.push(server);
-        }
+        let stand_ins = StandIns::start().await;
+        stand_ins.register_all().await;
+        let store_address = stand_ins.store_address;
         let settings = Settings {
             host: "host-1".into(),
             data_centre: "a".into(),
@@ -469,10 +480,114 @@
         Self {
             address: host.callers_address,
             host: Some(host),
+            stand_ins,
+        }
+    }
+
+    /// Waits until the host is ready.
+    pub async fn ready(&self) {
+        let host = self.host.as_ref().expect("host runs");
+        wait_until("host is ready", || host.not_ready().is_none()).await;
+    }
+
+    /// Sends a request with the customer's key.
+    pub async fn call(&self, method: &str, path: &str) -> Answer {
+        self.send(self.request(method, path)).await
+    }
+
+    /// Builds a request with the customer's key.
+    pub fn request(&self, method: &str, path: &str) -> Request<Full<Bytes>> {
+        request(method, &format!("http://{}{path}", self.address))
+    }
+
+    /// Sends a request.
+    pub async fn send(&self, req: Request<Full<Bytes>>) -> Answer {
+        read_answer(send_raw(self.address, req).await).await
+    }
+}
+
+/// Builds a request with the customer's key and an id of its own.
+pub fn request(method: &str, uri: &str) -> Request<Full<Bytes>> {
+    let id = format!("{:016x}", rand::random::<u64>());
+    Request::builder()
+        .method(method)
+        .uri(uri)
+        .header("host", HOST)
+        .header("x-request-id", id)
+        .header("x-deadline-ms", "2000")
+        .header("x-model", "m")
+        .header("x-token-counts", "1000,100")
+        .header("authorization", format!("Token {KEY}"))
+        .body(Full::new(Bytes::from("a body")))
+        .expect("request is valid")
+}
+
+/// Reads an answer to its end, or until it breaks off.
+pub async fn read_answer(response: Response<hyper::body::Incoming>) -> Answer {
+    let (head, mut body) = response.into_parts();
+    let (mut text, mut whole) = (String::new(), true);
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                let data = frame.into_data().unwrap_or_default();
+                text.push_str(&String::from_utf8_lossy(&data));
+            }
+            Err(_) => whole = false,
+        }
+    }
+    Answer {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        body: text,
+        whole,
+    }
+}
+
+/// The runners with the service and the stage of each.
+const RUNNERS: [(&str, &str, Option<&str>); 6] = [
+    ("p-0", "writers", Some("prefill")),
+    ("p-1", "writers", Some("prefill")),
+    ("d-0", "writers", Some("decode")),
+    ("d-1", "writers", Some("decode")),
+    ("s-0", "desk", None),
+    ("s-1", "desk", None),
+];
+
+impl StandIns {
+    /// Starts the stand-ins, with no runner registered.
+    pub async fn start() -> Self {
+        let store = MemoryStore::new(Arc::new(SystemClock));
+        let api = EmulatorServer::start(any_loopback(), Arc::new(StoreApi(store.clone())));
+        let api = api.await.expect("store starts");
+        let store_address = api.address();
+        let seen = SeenLog::default();
+        let (mut runners, mut servers, mut addresses) = (Vec::new(), vec![api], Vec::new());
+        for (id, _, _) in RUNNERS {
+            let runner = Arc::new(Runner {
+                id: id.to_owned(),
+                behaviour: Mutex::new(Behaviour::Run),
+                seen: seen.clone(),
+            });
+            let server = EmulatorServer::start(any_loopback(), runner.clone()).await;
+            let server = server.expect("runner starts");
+            addresses.push(server.address());
+            runners.push(runner);
+            servers.push(server);
+        }
+        Self {
             store,
+            store_address,
             runners,
+            addresses,
             seen,
-            servers,
+            _servers: servers,
+        }
+    }
+
+    /// Registers all runners.
+    pub async fn register_all(&self) {
+        for (id, _, _) in RUNNERS {
+            self.register(id, "ready").await;
         }
     }
 
@@ -483,31 +598,13 @@
 
     /// Writes the registration of a runner anew, as `ready` or `draining`.
     pub async fn register(&self, id: &str, condition: &str) {
-        let index = self
-            .runners
-            .iter()
-            .position(|runner| runner.id == id)
-            .expect("runner");
-        let service = if id.starts_with('s') {
-            "desk"
-        } else {
-            "writers"
-        };
-        let stage = match &id[..1] {
-            "p" => Some("prefill"),
-            "d" => Some("decode"),
-            _ => None,
-        };
-        let entry = entry(service, self.servers[index + 1].address(), stage, condition);
+        let index = RUNNERS.iter().position(|(runner, _, _)| *runner == id);
+        let index = index.expect("runner");
+        let (_, service, stage) = RUNNERS[index];
+        let entry = entry(service, self.addresses[index], stage, condition);
         put(&self.store, &format!("servers/{id}"), &entry).await;
     }
 
-    /// Waits until the host is ready.
-    pub async fn ready(&self) {
-        let host = self.host.as_ref().expect("host runs");
-        wait_until("host is ready", || host.not_ready().is_none()).await;
-    }
-
     /// Returns a runner.
     pub fn runner(&self, id: &str) -> &Runner {
         self.runners
@@ -523,51 +620,6 @@
             .filter(|seen| seen.runner.starts_with(prefix))
             .collect()
     }
-
-    /// Sends a request with the customer's key.
-    pub async fn call(&self, method: &str, path: &str) -> Answer {
-        self.send(self.request(method, path)).await
-    }
-
-    /// Builds a request with the customer's key.
-    pub fn request(&self, method: &str, path: &str) -> Request<Full<Bytes>> {
-        let id = format!("{:016x}", rand::random::<u64>());
-        Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.address))
-            .header("host", HOST)
-            .header("x-request-id", id)
-            .header("x-deadline-ms", "2000")
-            .header("x-model", "m")
-            .header("x-token-counts", "1000,100")
-            .header("authorization", format!("Token {KEY}"))
-            .body(Full::new(Bytes::from("a body")))
-            .expect("request is valid")
-    }
-
-    /// Sends a request.
-    pub async fn send(&self, req: Request<Full<Bytes>>) -> Answer {
-        let (parts, body) = req.into_parts();
-        let address = self.address;
-        let response = send_raw(address, Request::from_parts(parts, body)).await;
-        let (head, mut body) = response.into_parts();
-        let (mut text, mut whole) = (String::new(), true);
-        while let Some(frame) = body.frame().await {
-            match frame {
-                Ok(frame) => {
-                    let data = frame.into_data().unwrap_or_default();
-                    text.push_str(&String::from_utf8_lossy(&data));
-                }
-                Err(_) => whole = false,
-            }
-        }
-        Answer {
-            status: head.status.as_u16(),
-            headers: head.headers,
-            body: text,
-            whole,
-        }
-    }
 }
 
 /// Sends a request over its own connection, with the host name that it states.
--- a/tests/suite/processes.rs
+++ b/tests/suite/processes.rs
@@ -71,7 +71,7 @@
 
 /// Returns an address for a process that is about to start. Its port is below those that the system gives to
 /// connections and to listeners without a port, because one of these could take it before the process does.
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     // Suites that run at the same time begin at different ports.
     let first = std::process::id().wrapping_mul(64);
@@ -85,7 +85,8 @@
     }
 }
 
-fn binary() -> Command {
+/// Returns the program, to be started with arguments.
+pub fn binary() -> Command {
     Command::new(env!("CARGO_BIN_EXE_hibiscusspread"))
 }
 
