Tell other hosts of engines whose address another one has

Cause: an engine that crashes starts again under a new id at its address, and reserves memory whoever is meant. Change: the host that finds out tells the others, who choose it no more; an answer to a reservation that names another engine counts as well. Guarded by forward_fleet::replaced_upstream_is_news_for_other_hosts.

--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -155,14 +155,16 @@
         change
     }
 
-    /// Takes out one instance that turned out to be gone: another one answers at its address.
-    pub fn remove(&mut self, id: &UpstreamId, born: u64) {
+    /// Takes out one instance that turned out to be gone: another one answers at its address. Other hosts are told, because each
+    /// would find out by a call that is refused.
+    pub fn remove(&mut self, id: &UpstreamId, born: u64, now: Instant) {
         if self
             .instances
             .get(id)
             .is_some_and(|known| known.born == born)
         {
             self.instances.remove(id);
+            self.news.push((now, id.clone(), born));
             self.index();
         }
     }
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -122,8 +122,9 @@
     }
 
     /// Takes out an upstream at whose address another one answers.
-    pub fn remove_upstream(&self, instance: &Instance) {
-        self.change_directory(|d| d.remove(&instance.id, instance.born));
+    pub fn remove_upstream(&self, instance: &Instance, now: Instant) {
+        self.change_directory(|d| d.remove(&instance.id, instance.born, now));
+        self.report_soon();
     }
 
     fn change_directory<T>(&self, change: impl FnOnce(&mut Directory) -> T) -> T {
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -47,10 +47,9 @@
 
     /// Reads a refusal of `instance`; drops an instance whose address another one has.
     pub fn refused_by(cx: &ForwardServices, instance: &Instance, head: &response::Parts) -> Self {
-        let other = cx.codec.read_answer(head).upstream;
-        if let Some(other) = other.filter(|id| **id != *instance.id) {
+        if let Some(other) = other_at_address(cx, instance, head) {
             log::info!(target: "upstream", "{} is gone: {other} has its address", instance.id);
-            cx.state.remove_upstream(instance);
+            cx.state.remove_upstream(instance, cx.clock.now());
         }
         let status = head.status;
         let end = if status == StatusCode::MISDIRECTED_REQUEST {
@@ -78,6 +77,16 @@
     }
 }
 
+/// Returns the upstream that answered if it is not the one that was meant.
+pub fn other_at_address(
+    cx: &ForwardServices,
+    instance: &Instance,
+    head: &response::Parts,
+) -> Option<String> {
+    let answering = cx.codec.read_answer(head).upstream;
+    answering.filter(|id| **id != *instance.id)
+}
+
 /// How a call is sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sending {
--- a/src/request/forward/generation/reservation.rs
+++ b/src/request/forward/generation/reservation.rs
@@ -12,7 +12,7 @@
 use crate::prelude::*;
 use crate::process::forwarding::directory::Instance;
 use crate::process::forwarding::load::CallEnd;
-use crate::request::forward::attempt::{Attempt, AttemptFailure};
+use crate::request::forward::attempt::{Attempt, AttemptFailure, other_at_address};
 use crate::request::forward::call::ReservationRequest;
 use crate::request::forward::flow::ForwardServices;
 use crate::request::forward::link::{SendFailure, SendLimits, read_whole};
@@ -137,7 +137,7 @@
     };
     let sent = cx.link.send(holder.address, req, limits).await;
     let (head, mut body) = sent.map_err(AttemptFailure::Sending)?.into_parts();
-    if !head.status.is_success() {
+    if !head.status.is_success() || other_at_address(cx, holder, &head).is_some() {
         return Err(AttemptFailure::refused_by(cx, holder, &head));
     }
     let whole = read_whole(&mut body, MAX_RESERVATION_ANSWER);
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -65,6 +65,31 @@
     assert!(ids(&directory).is_empty());
 }
 
+/// Guards against every host finding out by a refused call of its own that an engine was replaced, after a prompt was prefilled
+/// for it in vain.
+#[test]
+fn replaced_upstream_is_news_for_other_hosts() {
+    let now = Instant::now();
+    let (mut finder, mut other) = (Directory::default(), Directory::default());
+    for directory in [&mut finder, &mut other] {
+        directory.apply(vec![instance("a", Stage::Decode, "x")], now);
+    }
+    finder.remove(&"a".into(), 2, now);
+    assert!(finder.left().is_empty());
+    finder.remove(&"a".into(), 1, now);
+    assert_eq!(finder.left(), [("a".into(), 1)]);
+    for (id, born) in finder.left() {
+        assert!(other.note_left(&id, born));
+    }
+    assert!(ids(&finder).is_empty() && ids(&other).is_empty());
+    let reborn = Instance {
+        born: 2,
+        ..instance("a", Stage::Decode, "x")
+    };
+    other.apply(vec![reborn], now + millis(800));
+    assert_eq!(ids(&other).len(), 1);
+}
+
 /// Guards against dropping upstreams whose entries lapsed while the store was away, and against keeping them for good.
 #[test]
 fn missing_entries_mean_nothing_shortly_after_an_outage() {
