Name engines without memory once a look, and drop a setting that changed nothing

Each refused reservation added two notes to the account of its request, so that lines of waiting requests grew to some kilobytes. A look at the engines now notes the one chosen and how many had no memory. Memory is reserved always; the part from which it is was never set.

--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -143,8 +143,8 @@
 /// The longest such time.
 const MAX_FULL_BLOCK: Duration = Duration::from_millis(1500);
 
-/// The time for which an engine that had no memory to reserve is not asked again. A decode engine ends a request about twice as
-/// seldom.
+/// The time for which an engine that had no memory to reserve is not asked again: half of the time after which a full engine
+/// ends its next request.
 const NO_MEMORY_BLOCK: Duration = Duration::from_millis(200);
 
 /// The time for which an engine that runs another stage than it registered gets no call; it registers the new one within its
--- a/src/request/forward/call.rs
+++ b/src/request/forward/call.rs
@@ -136,7 +136,7 @@
 /// Memory to reserve at an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReservationRequest {
-    /// The engine that is meant; another one at its address refuses.
+    /// The engine that is meant.
     pub upstream: UpstreamId,
     /// The tokens to reserve memory for.
     pub tokens: Tokens,
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -309,11 +309,14 @@
                 let Some(candidate) = self.choose(Purpose::Decode, near, is_well) else {
                     break;
                 };
-                record.note(describe(Purpose::Decode, &candidate));
+                let choice = describe(Purpose::Decode, &candidate);
                 let attempt = Attempt::begin(&self.cx, candidate.instance, tokens);
                 match Room::reserve(&self.cx, attempt, tokens, ttl).await {
-                    Ok(room) => return Some(room),
-                    Err(failure) => record.note(format_args!("no memory reserved: {failure}")),
+                    Ok(room) => {
+                        record.note(choice);
+                        return Some(room);
+                    }
+                    Err(failure) => record.note(format_args!("{choice}: {failure}")),
                 }
             }
         }
--- a/src/request/forward/generation/room.rs
+++ b/src/request/forward/generation/room.rs
@@ -6,7 +6,7 @@
 use crate::process::forwarding::directory::Stage;
 use crate::process::forwarding::line::Waiter;
 use crate::process::forwarding::selection::{Candidate, Purpose};
-use crate::request::forward::attempt::{Attempt, describe};
+use crate::request::forward::attempt::{Attempt, AttemptFailure, describe};
 use crate::request::forward::generation::Generation;
 use crate::request::forward::generation::reservation::Room;
 use crate::request::forward::record::ForwardRecord;
@@ -173,29 +173,31 @@
         on_time_until: Instant,
         record: &mut ForwardRecord,
     ) -> Result<Room, NoRoom> {
+        let tokens = self.memory_tokens();
+        let mut full = 0;
         for _ in 0..self.cx.settings.max_reservations {
-            let (attempt, is_roomy) = self.place(on_time_until, record)?;
-            let ttl = self.engine.reservation_ttl.filter(|_| !is_roomy);
-            let Some(ttl) = ttl else {
+            let (attempt, choice) = self.place(on_time_until)?;
+            let Some(ttl) = self.engine.reservation_ttl else {
+                record.note(choice);
                 return Ok(Room {
                     attempt,
                     reservation: None,
                 });
             };
-            match Room::reserve(&self.cx, attempt, self.memory_tokens(), ttl).await {
-                Ok(room) => return Ok(room),
-                Err(failure) => record.note(format_args!("no memory reserved: {failure}")),
+            match Room::reserve(&self.cx, attempt, tokens, ttl).await {
+                Ok(room) => {
+                    record.note(format_args!("{choice} after {full} without memory"));
+                    return Ok(room);
+                }
+                Err(AttemptFailure::Rejected { .. }) => full += 1,
+                Err(failure) => record.note(format_args!("{choice}: {failure}")),
             }
         }
         Err(NoRoom::EnginesFull)
     }
 
-    /// Takes a place at the best decode engine that has room as far as this host knows; tells whether it has plenty.
-    fn place(
-        &mut self,
-        on_time_until: Instant,
-        record: &mut ForwardRecord,
-    ) -> Result<(Attempt, bool), NoRoom> {
+    /// Takes a place at the best decode engine that has room as far as this host knows; describes the choice.
+    fn place(&self, on_time_until: Instant) -> Result<(Attempt, String), NoRoom> {
         let settings = &self.cx.settings;
         let is_on_time = self.cx.clock.now() < on_time_until;
         let filled = if is_on_time {
@@ -229,11 +231,9 @@
         } else {
             NoRoom::EnginesFull
         })?;
-        record.note(describe(Purpose::Decode, &candidate));
+        let choice = describe(Purpose::Decode, &candidate);
         let prompts = if by_itself { prompt } else { 0 };
-        let used = (candidate.load.work().tokens + tokens) as f64;
-        let is_roomy = used < self.engine.kv_tokens as f64 * settings.reserve_from;
         let attempt = Attempt::begin_with_prompt(&self.cx, candidate.instance, tokens, prompts);
-        Ok((attempt, is_roomy))
+        Ok((attempt, choice))
     }
 }
--- a/src/request/forward/settings.rs
+++ b/src/request/forward/settings.rs
@@ -28,9 +28,6 @@
     /// The part of the time for which engines keep memory at most, for which it is reserved before the prompt is prefilled. The
     /// rest covers the way.
     pub reservation_part: f64,
-    /// The part of an engine's memory in use, as this host knows it, from which memory is reserved. Below it a request certainly
-    /// finds room.
-    pub reserve_from: f64,
     /// The time for which a call that reserves memory is waited for; engines answer it at once.
     pub reservation_timeout: Duration,
     /// The engines asked for memory one after the other before the request waits again.
@@ -85,7 +82,6 @@
             resume_gap: Duration::from_millis(1500),
             handle_part: 0.8,
             reservation_part: 0.95,
-            reserve_from: 0.0,
             reservation_timeout: Duration::from_millis(250),
             max_reservations: 4,
             lost_prompt_rest: Duration::from_secs(1),
