Share the readiness check and the signals of processes between the process tests and the soak

One comment still named a case that was dropped: rooms without a reservation because an engine has plenty of memory. No behaviour changes; the product differs by that comment only.

--- a/src/request/forward/generation/reservation.rs
+++ b/src/request/forward/generation/reservation.rs
@@ -58,7 +58,7 @@
 pub(super) struct Room {
     /// The place in this host's count of the engine's load.
     pub(super) attempt: Attempt,
-    /// The memory that the engine keeps for the request; `None` if it has plenty or takes no reservations.
+    /// The memory that the engine keeps for the request; `None` if engines take no reservations or none had memory to spare.
     pub(super) reservation: Option<Reservation>,
 }
 
--- a/tests/suite/processes.rs
+++ b/tests/suite/processes.rs
@@ -43,9 +43,7 @@
 
 impl HostProcess {
     fn signal(&self, signal: &str) {
-        let pid = self.child.id().to_string();
-        let status = Command::new("kill").args([signal, &pid]).status();
-        assert!(status.expect("kill runs").success());
+        assert!(self::signal(&self.child, signal));
     }
 }
 
@@ -90,6 +88,23 @@
     Command::new(env!("CARGO_BIN_EXE_hibiscusspread"))
 }
 
+/// Tells whether the host with this operators' port is ready.
+pub async fn is_ready(operators: SocketAddr) -> bool {
+    let req = Request::get(format!("http://{operators}/readyz"));
+    let req = req.body(Full::default()).expect("valid");
+    let answer = HttpClient::default()
+        .send(req, Duration::from_secs(1))
+        .await;
+    answer.is_ok_and(|answer| answer.status().is_success())
+}
+
+/// Sends a signal to a process; one that has just ended can't be signalled.
+pub fn signal(child: &Child, signal: &str) -> bool {
+    let pid = child.id().to_string();
+    let status = Command::new("kill").args([signal, &pid]).status();
+    status.expect("kill runs").success()
+}
+
 impl Processes {
     async fn start() -> Self {
         let (store, list) = (free_address(), free_address());
@@ -157,15 +172,8 @@
     }
 
     async fn wait_until_ready(&self, index: usize) {
-        let uri = format!("http://{}/readyz", self.hosts[index].operators);
-        wait_for("host ready", || async {
-            let req = Request::get(&uri).body(Full::default()).expect("valid");
-            let answer = HttpClient::default()
-                .send(req, Duration::from_secs(1))
-                .await;
-            answer.is_ok_and(|answer| answer.status().is_success())
-        })
-        .await;
+        let operators = self.hosts[index].operators;
+        wait_for("host ready", || is_ready(operators)).await;
     }
 
     async fn complete(&self, index: usize, max_tokens: u32) -> Response<AnswerBody> {
--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -6,20 +6,17 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use futures_util::StreamExt as _;
-use http::Request;
-use http_body_util::Full;
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
-use hibiscusspread::connection::http_client::HttpClient;
 use hibiscusspread::emulator::store::StoreFaults;
 use hibiscusspread::process::shard::lock;
 
 use crate::platform_stand_in::{
     Behaviour, StandIns, configuration, configuration_with_reservations,
 };
+use crate::processes::is_ready;
 use crate::soak_callers::{Caller, Findings};
 use crate::soak_hosts::SoakHost;
 use crate::soak_proxy::{Passage, Proxy};
@@ -265,7 +262,7 @@
         for host in &self.hosts {
             let mut caller = Caller::new(host.callers, self.seed);
             loop {
-                if is_ready(host).await && caller.all_served(&self.findings).await {
+                if is_ready(host.operators).await && caller.all_served(&self.findings).await {
                     break;
                 }
                 if started.elapsed() > RECOVERY {
@@ -364,15 +361,6 @@
     document
 }
 
-async fn is_ready(host: &SoakHost) -> bool {
-    let req = Request::get(format!("http://{}/readyz", host.operators));
-    let req = req.body(Full::<Bytes>::default()).expect("valid");
-    let answer = HttpClient::default()
-        .send(req, Duration::from_secs(1))
-        .await;
-    answer.is_ok_and(|answer| answer.status().is_success())
-}
-
 fn number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
--- a/tests/suite/soak_hosts.rs
+++ b/tests/suite/soak_hosts.rs
@@ -3,13 +3,13 @@
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus};
+use std::process::{Child, ExitStatus};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use hibiscusspread::process::shard::lock;
 
-use crate::processes::{binary, free_address};
+use crate::processes::{self, binary, free_address};
 
 /// The time from SIGTERM within which a host must be gone, as its settings say.
 pub const GRACE: Duration = Duration::from_secs(3);
@@ -82,11 +82,7 @@
     pub fn signal(&self, signal: &str) {
         let child = lock(&self.child);
         if let Some(child) = child.as_ref() {
-            let status = Command::new("kill")
-                .args([signal, &child.id().to_string()])
-                .status();
-            // A process that has just ended can't be signalled.
-            let _ = status.expect("kill runs");
+            let _ = processes::signal(child, signal);
         }
     }
 
