--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -5,12 +5,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::prelude::*;
+use crate::process::forwarding::recent_news::RecentNews;
+use crate::process::forwarding::source::Reach;
+use crate::process::shard::stable_hash;
 
 /// The part of a generation that an upstream runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stage {
     /// All of a request: plain services, and engines that prefill and decode.
     Whole,
@@ -21,7 +25,7 @@
 }
 
 /// One run of an upstream's process, as registered.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Instance {
     /// The id under which the upstream registers; a restarted one may keep it.
     pub id: UpstreamId,
@@ -50,16 +54,22 @@
     /// The time after a store outage for which upstreams missing from the list are kept: registrations that expired during the
     /// outage are renewed within about two seconds.
     pub outage_grace: Duration,
+    /// The age of a list from which the store counts as having been unavailable; longer than any interval between two reads.
+    pub outage_gap: Duration,
     /// The time for which reports to other hosts name an upstream that left; longer than those hosts take to read the list
     /// themselves.
     pub left_report_ttl: Duration,
+    /// The time for which messages to other hosts repeat a change of the list, in case some are lost.
+    pub change_report_ttl: Duration,
 }
 
 impl Default for DirectorySettings {
     fn default() -> Self {
         Self {
             outage_grace: Duration::from_millis(2200),
+            outage_gap: Duration::from_millis(3500),
             left_report_ttl: Duration::from_secs(4),
+            change_report_ttl: Duration::from_secs(4),
         }
     }
 }
@@ -75,8 +85,48 @@
     pub kept: usize,
 }
 
+/// A change of the list of upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListChange {
+    /// An upstream is new, was restarted, or its entry changed.
+    Put(Instance),
+    /// An upstream is no longer listed.
+    Removed(UpstreamId),
+}
+
+impl DirectoryChange {
+    /// Returns whether the list stayed as it was.
+    pub fn is_empty(&self) -> bool {
+        self.started.is_empty() && self.left.is_empty()
+    }
+}
+
+/// The newest changes of the list of upstreams, for hosts that don't read it from the store themselves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListNews {
+    /// The revision of the store up to which the list is complete.
+    pub revision: Revision,
+    /// The time since the list was requested from the store, as of the sending of this message.
+    pub age: Duration,
+    /// The digest of the whole list, by which a receiver finds that it misses a change.
+    pub digest: u64,
+    /// The changes within the last `DirectorySettings::change_report_ttl`, oldest first.
+    pub changes: Vec<ListChange>,
+}
+
+/// What came of `ListNews`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NewsOutcome {
+    /// The list was known already, or a newer one.
+    Known,
+    /// The list is now that of the news.
+    Applied,
+    /// More has changed than the news tells; the list must be read from the store.
+    Incomplete,
+}
+
 /// The registered upstreams, by id and by service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Directory {
     settings: DirectorySettings,
     instances: HashMap<UpstreamId, Arc<Instance>>,
@@ -85,18 +135,42 @@
     is_store_down: bool,
     /// When the first list after the last outage was requested; `None` once its grace period is over.
     outage_ended: Option<Instant>,
-    /// When the last list was requested.
+    /// When the last list was requested from the store, by this host or the one whose news it applied.
     last_listed: Option<Instant>,
-    /// The upstreams to report as left: when this host found it, the id, and the start in Unix milliseconds.
-    left: Vec<(Instant, UpstreamId, u64)>,
+    /// The revision of the store up to which the list is complete.
+    revision: Revision,
+    /// The digest of the list, see `ListNews`.
+    digest: u64,
+    /// The changes of the list, with the time at which this host learned of each.
+    changes: Vec<(Instant, ListChange)>,
+    /// The upstreams that were found to have left although they are listed, each with its start in Unix milliseconds and the time.
+    /// They get no work until a list that was requested later.
+    marked: HashMap<UpstreamId, (u64, Instant)>,
+    /// The upstreams to report as left: the id, and the start in Unix milliseconds.
+    left: RecentNews<(UpstreamId, u64)>,
+}
+
+impl Default for Directory {
+    fn default() -> Self {
+        Self::new(DirectorySettings::default())
+    }
 }
 
 impl Directory {
     /// Creates an empty directory.
     pub fn new(settings: DirectorySettings) -> Self {
         Self {
+            left: RecentNews::new(settings.left_report_ttl),
             settings,
-            ..Self::default()
+            instances: HashMap::new(),
+            by_service: HashMap::new(),
+            is_store_down: false,
+            outage_ended: None,
+            last_listed: None,
+            revision: 0,
+            digest: 0,
+            changes: Vec::new(),
+            marked: HashMap::new(),
         }
     }
 
@@ -105,9 +179,19 @@
         self.is_store_down = true;
     }
 
-    /// Applies a complete list that was requested at `requested_at`.
-    pub fn apply(&mut self, listed: Vec<Instance>, requested_at: Instant) -> DirectoryChange {
-        if self.is_store_down {
+    /// Applies a complete list that was requested at `requested_at` and has all changes up to `revision` of the store.
+    pub fn apply(
+        &mut self,
+        listed: Vec<Instance>,
+        revision: Revision,
+        requested_at: Instant,
+    ) -> DirectoryChange {
+        let gap = self
+            .last_listed
+            .map(|at| requested_at.saturating_duration_since(at));
+        // Relays that told nothing of the list for so long could not read it either.
+        let was_down = self.is_store_down || gap.is_some_and(|gap| gap > self.settings.outage_gap);
+        if was_down {
             self.is_store_down = false;
             self.outage_ended = Some(requested_at);
         }
@@ -125,6 +209,8 @@
             let instance = match known {
                 Some(known) if *known == instance => known,
                 known => {
+                    let put = ListChange::Put(instance.clone());
+                    self.changes.push((requested_at, put));
                     let instance = Arc::new(instance);
                     let is_restart = known.as_ref().is_none_or(|k| k.born != instance.born);
                     if instance.draining && known.is_some_and(|k| !k.draining) {
@@ -142,62 +228,131 @@
                 change.kept += 1;
                 next.insert(id, missing);
             } else {
+                self.changes.push((requested_at, ListChange::Removed(id)));
                 change.left.push(missing);
             }
         }
         self.instances = next;
         self.last_listed = Some(requested_at);
-        self.left.retain(|(at, _, _)| {
-            requested_at.saturating_duration_since(*at) < self.settings.left_report_ttl
-        });
-        let left = change
-            .left
-            .iter()
-            .map(|instance| (requested_at, instance.id.clone(), instance.born));
-        self.left.extend(left);
+        self.marked.retain(|_, (_, at)| *at >= requested_at);
+        self.revision = self.revision.max(revision);
+        for instance in &change.left {
+            let left = (instance.id.clone(), instance.born);
+            self.left.add(left, Reach::Host, requested_at);
+        }
         self.rebuild_index();
         change
     }
 
-    /// Removes an instance that is gone because another one answers at its address. It is reported to other hosts, each of which
-    /// would otherwise need a refused call of its own to find out.
-    pub fn remove(&mut self, id: &UpstreamId, born: u64, now: Instant) {
-        if self
-            .instances
-            .get(id)
-            .is_some_and(|known| known.born == born)
-        {
-            self.instances.remove(id);
-            self.left.push((now, id.clone(), born));
+    /// Returns the news of the list for other hosts; `None` before the first list.
+    pub fn news(&mut self, now: Instant) -> Option<ListNews> {
+        let ttl = self.settings.change_report_ttl;
+        self.changes
+            .retain(|(at, _)| now.saturating_duration_since(*at) < ttl);
+        Some(ListNews {
+            revision: self.revision,
+            age: now.saturating_duration_since(self.last_listed?),
+            digest: self.digest,
+            changes: self.changes.iter().map(|(_, c)| c.clone()).collect(),
+        })
+    }
+
+    /// Returns whether applying news that arrived at `now` would change nothing.
+    pub fn is_known(&self, news: &ListNews, now: Instant) -> bool {
+        let age = self.last_listed.map(|at| now.saturating_duration_since(at));
+        news.digest == self.digest
+            && news.revision <= self.revision
+            && age.is_some_and(|age| age <= news.age)
+    }
+
+    /// Applies news that arrived at `now`. They don't make the list newer than the store's reply from which they come.
+    pub fn apply_news(&mut self, news: &ListNews, now: Instant) -> (NewsOutcome, DirectoryChange) {
+        let mut change = DirectoryChange::default();
+        let Some(last_listed) = self.last_listed else {
+            return (NewsOutcome::Incomplete, change);
+        };
+        if news.revision < self.revision {
+            return (NewsOutcome::Known, change);
+        }
+        let requested_at = now.checked_sub(news.age).unwrap_or(last_listed);
+        let is_known = news.digest == self.digest;
+        let marks = self.marked.len();
+        if !is_known {
+            for listed in &news.changes {
+                self.apply_change(listed, now, &mut change);
+            }
+        }
+        if self.listed_digest() == news.digest {
+            self.marked.retain(|_, (_, at)| *at >= requested_at);
+        }
+        if !is_known || self.marked.len() < marks {
             self.rebuild_index();
         }
+        if news.digest != self.digest {
+            return (NewsOutcome::Incomplete, change);
+        }
+        self.revision = news.revision;
+        self.last_listed = Some(last_listed.max(requested_at));
+        let outcome = if is_known {
+            NewsOutcome::Known
+        } else {
+            NewsOutcome::Applied
+        };
+        (outcome, change)
     }
 
-    /// Marks an upstream as draining that another host found to have left, until this host applies its next list. Returns whether
-    /// this host did not know of it.
-    pub fn mark_left(&mut self, id: &UpstreamId, born: u64) -> bool {
-        let known = self
-            .instances
-            .get(id)
-            .filter(|known| known.born == born && !known.draining);
-        let Some(known) = known else {
+    fn apply_change(&mut self, listed: &ListChange, now: Instant, change: &mut DirectoryChange) {
+        match listed {
+            ListChange::Put(instance) => {
+                let known = self.instances.get(&instance.id);
+                if known.is_some_and(|known| **known == *instance) {
+                    return;
+                }
+                let is_restart = known.is_none_or(|known| known.born != instance.born);
+                let drains = instance.draining && known.is_some_and(|known| !known.draining);
+                let instance = Arc::new(instance.clone());
+                if drains {
+                    change.left.push(instance.clone());
+                } else if is_restart {
+                    change.started.push(instance.clone());
+                }
+                self.instances.insert(instance.id.clone(), instance);
+            }
+            ListChange::Removed(id) => {
+                let Some(removed) = self.instances.remove(id) else {
+                    return;
+                };
+                change.left.push(removed);
+            }
+        }
+        self.changes.push((now, listed.clone()));
+    }
+
+    /// Marks an instance as left because another one answers at its address. It is reported to other hosts, each of which would
+    /// otherwise need a refused call of its own to find out.
+    pub fn remove(&mut self, id: &UpstreamId, born: u64, now: Instant) {
+        self.mark_left(id, born, Reach::Host, now);
+    }
+
+    /// Marks an upstream that a host within `reach` found to have left, until this host applies a list requested later. Returns
+    /// whether this host did not know of it.
+    pub fn mark_left(&mut self, id: &UpstreamId, born: u64, reach: Reach, now: Instant) -> bool {
+        let known = self.instances.get(id);
+        if known.is_none_or(|known| known.born != born) {
             return false;
-        };
-        let drained = Instance {
-            draining: true,
-            ..(**known).clone()
-        };
-        self.instances.insert(id.clone(), Arc::new(drained));
+        }
+        let is_news = self.left.add((id.clone(), born), reach, now);
+        if known.is_some_and(|known| known.draining) || !is_news {
+            return false;
+        }
+        self.marked.insert(id.clone(), (born, now));
         self.rebuild_index();
         true
     }
 
-    /// Returns the upstreams that recently left, each with its start in Unix milliseconds.
-    pub fn recently_left(&self) -> Vec<(UpstreamId, u64)> {
-        self.left
-            .iter()
-            .map(|(_, id, born)| (id.clone(), *born))
-            .collect()
+    /// Returns the upstreams that recently left as found within `reach`, each with its start in Unix milliseconds.
+    pub fn recently_left(&mut self, reach: Reach, now: Instant) -> Vec<(UpstreamId, u64)> {
+        self.left.within(reach, now)
     }
 
     /// Returns when the last list was requested; `None` if none was read yet.
@@ -213,7 +368,7 @@
     /// Returns whether an instance that was chosen earlier is still the registered one and may get new work.
     pub fn is_available(&self, instance: &Instance) -> bool {
         let known = self.instances.get(&instance.id);
-        known.is_some_and(|known| known.born == instance.born && !known.draining)
+        known.is_some_and(|known| known.born == instance.born && self.takes_work(known))
     }
 
     /// Returns the number of known upstreams, draining ones included.
@@ -226,9 +381,25 @@
         self.instances.is_empty()
     }
 
+    /// Returns whether an instance neither drains nor was found to have left.
+    fn takes_work(&self, instance: &Instance) -> bool {
+        let marked = self.marked.get(&instance.id);
+        !instance.draining && marked.is_none_or(|(born, _)| *born != instance.born)
+    }
+
+    /// Returns a digest of all instances that does not depend on their order.
+    fn listed_digest(&self) -> u64 {
+        let hashes = self
+            .instances
+            .values()
+            .map(|instance| stable_hash(&**instance));
+        hashes.fold(0, u64::wrapping_add)
+    }
+
     fn rebuild_index(&mut self) {
+        self.digest = self.listed_digest();
         let mut by_service: HashMap<ModelId, Vec<Arc<Instance>>> = HashMap::new();
-        for instance in self.instances.values().filter(|i| !i.draining) {
+        for instance in self.instances.values().filter(|i| self.takes_work(i)) {
             let available = by_service.entry(instance.service.clone()).or_default();
             available.push(instance.clone());
         }
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -7,12 +7,16 @@
 use tokio::sync::watch;
 
 use crate::prelude::*;
-use crate::process::forwarding::directory::{Directory, DirectoryChange, Instance};
+use crate::process::forwarding::directory::{
+    Directory, DirectoryChange, Instance, ListNews, NewsOutcome,
+};
 use crate::process::forwarding::load::LoadTracker;
 use crate::process::forwarding::peers::PeerTable;
+use crate::process::forwarding::recent_news::RecentNews;
 use crate::process::forwarding::retry_budget::HostRetryBudget;
 use crate::process::forwarding::service_queues::ServiceQueues;
 use crate::process::forwarding::settings::ForwardingSettings;
+use crate::process::forwarding::source::Reach;
 use crate::process::forwarding::usage::UsageTracker;
 use crate::process::message::CrashReport;
 use crate::process::metrics;
@@ -41,8 +45,12 @@
     pub queues: Arc<ServiceQueues>,
     directory: ShardedLock<Directory>,
     peers: Mutex<PeerTable>,
-    /// The crashes by request fingerprint, and those found by this host, which are reported to others.
-    crashes: Mutex<(CrashTable, Vec<(Instant, CrashReport)>)>,
+    /// The crashes by request fingerprint.
+    crashes: Mutex<CrashTable>,
+    /// The recent crashes, to report them.
+    crash_reports: Mutex<RecentNews<CrashReport>>,
+    /// Wakes the task that reads the list of upstreams, because other hosts' news of it is incomplete.
+    list_incomplete: tokio::sync::Notify,
     /// When this host cuts off open requests; set once it drains.
     drain_deadline: Mutex<Option<Instant>>,
     /// Wakes the task that reports to other hosts.
@@ -62,7 +70,9 @@
             queues: Arc::default(),
             directory: ShardedLock::new(Directory::new(settings.directory.clone())),
             peers: Mutex::default(),
-            crashes: Mutex::new((CrashTable::new(MAX_CRASH_FINGERPRINTS), Vec::new())),
+            crashes: Mutex::new(CrashTable::new(MAX_CRASH_FINGERPRINTS)),
+            crash_reports: Mutex::new(RecentNews::new(CRASH_REPORT_TTL)),
+            list_incomplete: tokio::sync::Notify::new(),
             drain_deadline: Mutex::default(),
             report_requested: tokio::sync::Notify::new(),
             newest_version: watch::Sender::new(0),
@@ -97,26 +107,80 @@
             .unwrap_or_default()
     }
 
-    /// Applies a complete list of upstreams that was requested at `requested_at`.
-    pub fn apply_list(&self, listed: Vec<Instance>, requested_at: Instant) -> DirectoryChange {
-        let change = self.change_directory(|d| d.apply(listed, requested_at));
-        for left in change.left.iter().filter(|left| !left.draining) {
-            self.loads.remove_idle(left);
-        }
-        self.queues.wake_heads(requested_at);
+    /// Applies a complete list of upstreams that was requested at `requested_at` and has all changes up to `revision`.
+    pub fn apply_list(
+        &self,
+        listed: Vec<Instance>,
+        revision: Revision,
+        requested_at: Instant,
+    ) -> DirectoryChange {
+        let change = self.change_directory(|d| d.apply(listed, revision, requested_at));
+        self.follow_change(&change, requested_at);
         change
     }
 
-    /// Marks the upstreams in `left`, which another host found to have left, as draining.
-    pub fn mark_left(&self, left: &[(UpstreamId, u64)]) {
+    /// Applies the changes of the list of upstreams that another host reports. If they are not complete, the task that reads the
+    /// list is woken.
+    pub fn apply_list_news(&self, news: &ListNews, now: Instant) {
+        // Most news is known; the lock for it is shared.
+        if self.with_directory(|d| d.is_known(news, now)) {
+            return;
+        }
+        let (outcome, change) = self.change_directory(|d| d.apply_news(news, now));
+        self.follow_change(&change, now);
+        if outcome == NewsOutcome::Incomplete {
+            self.list_incomplete.notify_one();
+        } else if !change.is_empty() {
+            self.request_report();
+        }
+    }
+
+    /// Returns the news of the list of upstreams for other hosts; `None` before the first list.
+    pub fn list_news(&self, now: Instant) -> Option<ListNews> {
+        self.change_directory(|d| d.news(now))
+    }
+
+    /// Waits until other hosts' news of the list of upstreams is incomplete.
+    pub async fn list_incomplete(&self) {
+        self.list_incomplete.notified().await;
+    }
+
+    /// Logs what changed in the list of upstreams and adjusts the state that depends on it.
+    fn follow_change(&self, change: &DirectoryChange, now: Instant) {
+        for instance in &change.started {
+            self.loads.track(instance);
+            log::info!(target: "upstream", "upstream {} of service {} started or restarted: stage {:?} at {} in data centre {}", instance.id, instance.service, instance.stage, instance.address, instance.data_centre);
+        }
+        for instance in &change.left {
+            let state = if instance.draining {
+                "drains"
+            } else {
+                self.loads.remove_idle(instance);
+                "is no longer listed"
+            };
+            log::info!(target: "upstream", "upstream {} of service {} {state}; it gets no new work", instance.id, instance.service);
+        }
+        if change.kept > 0 {
+            log::info!(target: "upstream", "{} unlisted upstreams kept, because the store was just unavailable", change.kept);
+        }
+        self.queues.wake_heads(now);
+    }
+
+    /// Marks the upstreams in `left`, which a host within `reach` found to have left: they get no new work.
+    pub fn mark_left(&self, left: &[(UpstreamId, u64)], reach: Reach, now: Instant) {
         for (id, born) in left {
-            let is_new = self.change_directory(|d| d.mark_left(id, *born));
+            let is_new = self.change_directory(|d| d.mark_left(id, *born, reach, now));
             if is_new {
                 log::info!(target: "upstream", "upstream {id} reported as left by another host; it gets no new work");
             }
         }
     }
 
+    /// Returns the upstreams that recently left as found within `reach`, each with its start in Unix milliseconds.
+    pub fn recently_left(&self, reach: Reach, now: Instant) -> Vec<(UpstreamId, u64)> {
+        self.change_directory(|d| d.recently_left(reach, now))
+    }
+
     /// Records that the list of upstreams could not be read.
     pub fn record_list_failure(&self) {
         self.change_directory(Directory::record_read_failure);
@@ -144,7 +208,7 @@
 
     /// Returns whether requests with this fingerprint have crashed too many upstreams to run again.
     pub fn is_quarantined(&self, fingerprint: &Digest, now: Instant) -> bool {
-        lock(&self.crashes).0.is_quarantined(fingerprint, now)
+        lock(&self.crashes).is_quarantined(fingerprint, now)
     }
 
     /// Takes one retry from this host's budget and counts it under `cause`; returns whether the budget had one left.
@@ -157,20 +221,15 @@
         taken
     }
 
-    /// Records that an upstream broke off while it ran a request; a crash that this host found (`own`) is reported to others.
-    pub fn record_crash(&self, report: &CrashReport, own: bool, now: Instant) {
-        let mut crashes = lock(&self.crashes);
-        crashes.0.record(report, now);
-        if own {
-            crashes.1.push((now, report.clone()));
-        }
+    /// Records that an upstream broke off while it ran a request, as found within `reach`, and reports it to others.
+    pub fn record_crash(&self, report: &CrashReport, reach: Reach, now: Instant) {
+        lock(&self.crashes).record(report, now);
+        lock(&self.crash_reports).add(report.clone(), reach, now);
     }
 
-    /// Returns the crashes that this host recently found, to report them.
-    pub fn recent_crashes(&self, now: Instant) -> Vec<CrashReport> {
-        let reports = &mut lock(&self.crashes).1;
-        reports.retain(|(at, _)| now.saturating_duration_since(*at) < CRASH_REPORT_TTL);
-        reports.iter().map(|(_, report)| report.clone()).collect()
+    /// Returns the crashes recently found within `reach`, to report them.
+    pub fn recent_crashes(&self, reach: Reach, now: Instant) -> Vec<CrashReport> {
+        lock(&self.crash_reports).within(reach, now)
     }
 
     /// Sets the time at which this host, which drains from now on, cuts off open requests.
@@ -194,6 +253,11 @@
         });
     }
 
+    /// Returns the newest configuration version that any other host has reported.
+    pub fn newest_peer_version(&self) -> Version {
+        *self.newest_version.borrow()
+    }
+
     /// Returns whether another host has a newer configuration version in force.
     pub fn is_config_outdated(&self) -> bool {
         *self.newest_version.borrow() > self.config.current().version
--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -95,6 +95,7 @@
         if forwarding.first_start {
             // No other host has granted anything yet, so a full burst is available.
             forwarding.usage.initial_level = 1.0;
+            forwarding.usage.initial_fleet_level = f64::INFINITY;
         }
         let state = Arc::new(FleetState::new(&forwarding));
         let reports = ReportSocket::bind(settings.peer.address).await?;
@@ -102,17 +103,17 @@
             host: settings.host.clone(),
             address: reports.address()?,
             incarnation: rand::random(),
+            data_centre: settings.data_centre.clone(),
+            capacity: forwarding.capacity,
         };
         let exchange = Arc::new(ReportExchange {
-            host: settings.host.clone(),
-            address: registration.address,
-            incarnation: registration.incarnation,
+            own: registration.clone(),
             started: clock.now(),
             state: state.clone(),
             clock: clock.clone(),
             link: Arc::new(reports),
-            delay_per_host: forwarding.report_delay_per_host,
-            interval: forwarding.report_interval,
+            settings: forwarding.exchange.clone(),
+            reported_work: Mutex::default(),
         });
         let watchers = Arc::new(StoreWatchers {
             state: state.clone(),
@@ -126,8 +127,7 @@
         });
         let pooled_transport = Arc::new(PooledTransport(UpstreamPool::new()));
         let stage_controller = StageController {
-            host: settings.host.clone(),
-            incarnation: exchange.incarnation,
+            own: exchange.own.clone(),
             state: state.clone(),
             store: watchers.store.clone(),
             transport: pooled_transport.clone(),
--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -9,6 +9,8 @@
 
 use crate::prelude::*;
 use crate::process::forwarding::directory::Instance;
+use crate::process::forwarding::recent_news::RecentNews;
+use crate::process::forwarding::source::{Reach, Source};
 use crate::process::shard::{Shards, lock};
 
 /// Work that an upstream was given and has not finished.
@@ -29,7 +31,8 @@
         self.prompts += other.prompts;
     }
 
-    fn remove(&mut self, other: Self) {
+    /// Removes a part of the work; what is not there counts as removed.
+    pub fn remove(&mut self, other: Self) {
         self.calls = self.calls.saturating_sub(other.calls);
         self.tokens = self.tokens.saturating_sub(other.tokens);
         self.prompts = self.prompts.saturating_sub(other.prompts);
@@ -81,8 +84,8 @@
     /// The start of the process that this describes, in Unix milliseconds.
     born: u64,
     own: Work,
-    /// The work that each other host reported, with the time of its report.
-    others: SmallVec<[(HostId, Work, Instant); 8]>,
+    /// The work that each source reported, with the time of its report.
+    others: SmallVec<[(Source, Work, Instant); 8]>,
     /// The calls that were sent and not answered yet, with the time of sending.
     unanswered: SmallVec<[(CallId, Instant); 8]>,
     /// The failed calls in a row.
@@ -175,22 +178,28 @@
 }
 
 /// The load and health of all upstreams, in shards under a lock each.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LoadTracker {
     settings: LoadSettings,
     data_centres: Shards<HashMap<DataCentreId, Reachability>>,
-    /// The unhealthy upstreams that this host found, with the time, to report them.
-    unhealthy: Mutex<Vec<(Instant, UnhealthyReport)>>,
+    /// The upstreams that were found unhealthy, to report them.
+    unhealthy: Mutex<RecentNews<UnhealthyReport>>,
     upstreams: Shards<HashMap<UpstreamId, UpstreamLoad>>,
 }
 
+impl Default for LoadTracker {
+    fn default() -> Self {
+        Self::new(LoadSettings::default())
+    }
+}
+
 impl LoadTracker {
     /// Creates a tracker that knows no upstream.
     pub fn new(settings: LoadSettings) -> Self {
         Self {
+            unhealthy: Mutex::new(RecentNews::new(settings.unhealthy_report_ttl)),
             settings,
             data_centres: Shards::default(),
-            unhealthy: Mutex::default(),
             upstreams: Shards::default(),
         }
     }
@@ -311,37 +320,34 @@
             born: instance.born,
             rest,
         };
-        lock(&self.unhealthy).push((now, report));
+        lock(&self.unhealthy).add(report, Reach::Host, now);
     }
 
-    /// Replaces the work that another host has given to upstreams; it has given none to those that the report does not name.
-    pub fn apply_report(&self, host: &HostId, report: &[(UpstreamId, Work)], now: Instant) {
+    /// Replaces the work that a source has given to upstreams; it has given none to those that the report does not name.
+    pub fn apply_report(&self, source: &Source, report: &[(UpstreamId, Work)], now: Instant) {
         for mut upstreams in self.upstreams.iter() {
             for load in upstreams.values_mut() {
-                load.others.retain(|(other, _, _)| other != host);
+                load.others.retain(|(other, _, _)| other != source);
             }
         }
         for (upstream, work) in report {
             let mut upstreams = self.upstreams.lock(upstream);
             // An upstream that this host does not know yet can't be chosen, so its load does not matter.
             if let Some(load) = upstreams.get_mut(upstream) {
-                load.others.push((host.clone(), *work, now));
+                load.others.push((source.clone(), *work, now));
             }
         }
     }
 
-    /// Returns the upstreams that this host recently found unhealthy, to report them.
-    pub fn unhealthy_reports(&self, now: Instant) -> Vec<UnhealthyReport> {
-        let mut reports = lock(&self.unhealthy);
-        reports.retain(|(at, _)| {
-            now.saturating_duration_since(*at) < self.settings.unhealthy_report_ttl
-        });
-        reports.iter().map(|(_, report)| report.clone()).collect()
+    /// Returns the upstreams that were recently found unhealthy within `reach`, to report them.
+    pub fn unhealthy_reports(&self, reach: Reach, now: Instant) -> Vec<UnhealthyReport> {
+        lock(&self.unhealthy).within(reach, now)
     }
 
     /// Blocks an upstream that another host found unhealthy, unless it has just answered this host: the other one may only have
     /// lost its connection to a healthy upstream.
-    pub fn apply_unhealthy_report(&self, report: &UnhealthyReport, now: Instant) {
+    pub fn apply_unhealthy_report(&self, report: &UnhealthyReport, reach: Reach, now: Instant) {
+        lock(&self.unhealthy).add(report.clone(), reach, now);
         let mut upstreams = self.upstreams.lock(&report.upstream);
         let Some(load) = upstreams.get_mut(&report.upstream) else {
             return;
@@ -355,14 +361,35 @@
         }
     }
 
-    /// Returns the unfinished work that this host has given to upstreams, to report it.
-    pub fn own_work(&self) -> Vec<(UpstreamId, Work)> {
-        let mut work = Vec::new();
+    /// Returns the unfinished work that the hosts within `reach` have given to upstreams, as far as this host knows, to report it.
+    pub fn work_within(&self, reach: Reach, now: Instant) -> Vec<(UpstreamId, Work)> {
+        let ttl = self.settings.report_ttl;
+        let mut reported = Vec::new();
         for upstreams in self.upstreams.iter() {
-            let busy = upstreams.iter().filter(|(_, load)| load.own.calls > 0);
-            work.extend(busy.map(|(id, load)| (id.clone(), load.own)));
+            for (id, load) in upstreams.iter() {
+                let mut work = load.own;
+                for (source, other, at) in &load.others {
+                    let is_within = match source {
+                        Source::Host(_) => reach >= Reach::DataCentre,
+                        Source::DataCentre(_) => reach >= Reach::Fleet,
+                        // The sum of the fleet contains this host's own work, and is for its own use.
+                        Source::Fleet => false,
+                    };
+                    if is_within && now.saturating_duration_since(*at) < ttl {
+                        work.add(*other);
+                    }
+                }
+                if work.calls > 0 {
+                    reported.push((id.clone(), work));
+                }
+            }
         }
-        work
+        reported
+    }
+
+    /// Keeps other hosts' reports of an upstream from now on, even before it is a candidate of a request.
+    pub fn track(&self, instance: &Instance) {
+        self.with_load(instance, |_| {});
     }
 
     /// Returns the load of an upstream. From then on, other hosts' reports of it are kept.
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -7,39 +7,47 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::process::forwarding::directory::ListNews;
 use crate::process::forwarding::load::{UnhealthyReport, Work};
-use crate::process::forwarding::usage::GrantedTokens;
+use crate::process::forwarding::relays::{
+    ExchangePlan, RankedHost, RelayPlanner, Role, relay_rank,
+};
+use crate::process::forwarding::source::{Reach, Source};
+use crate::process::forwarding::usage::UsageTotals;
 use crate::process::message::CrashReport;
 
-/// The state that a host reports to all others. Each report replaces the previous one, so that a lost report does no harm.
+/// The state of a host, or the sum of several hosts that a relay has heard of. Each report replaces the previous one of the same
+/// sender and reach, so that a lost report does no harm.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostReport {
     /// The host that reports.
-    pub host: HostId,
-    /// The address at which it receives reports.
-    pub address: SocketAddr,
-    /// The incarnation of its process; changes with a restart.
-    pub incarnation: Incarnation,
+    pub sender: Registration,
+    /// The hosts whose state is summed up.
+    pub reach: Reach,
     /// The sequence number of the report; grows within an incarnation.
     pub number: u64,
-    /// The time since its process started.
+    /// The time since the sender's process started.
     pub uptime: Duration,
-    /// The configuration version in force there.
+    /// The number of hosts that the sender knows, itself included.
+    pub hosts: usize,
+    /// The newest configuration version that is in force at any of the hosts.
     pub version: Version,
     /// Whether the host is shutting down; this is its last report.
     pub leaving: bool,
-    /// The tokens that it has granted since its start, for customers for whom they changed recently.
-    pub granted: Vec<(CustomerId, GrantedTokens)>,
-    /// The unfinished work that it has given to upstreams.
+    /// The tokens requested and granted, for customers for whom they changed recently.
+    pub usage: Vec<(CustomerId, UsageTotals)>,
+    /// The unfinished work that the hosts have given to upstreams.
     pub work: Vec<(UpstreamId, Work)>,
-    /// The upstreams that it recently found unhealthy.
+    /// The upstreams that they recently found unhealthy.
     pub unwell: Vec<UnhealthyReport>,
-    /// The upstreams that it recently found to have left, each with its start in Unix milliseconds.
+    /// The upstreams that they recently found to have left, each with its start in Unix milliseconds.
     pub left: Vec<(UpstreamId, u64)>,
     /// Whether any request that is queued there can still meet its target.
     pub has_on_time: bool,
     /// The requests whose upstream recently broke off while it ran them.
     pub crashes: Vec<CrashReport>,
+    /// The newest changes of the list of upstreams; `None` if the receivers read the list themselves.
+    pub list: Option<ListNews>,
 }
 
 /// A host's entry in the store.
@@ -51,12 +59,24 @@
     pub address: SocketAddr,
     /// The incarnation of its process; changes with a restart.
     pub incarnation: Incarnation,
+    /// The data centre in which it runs; empty in entries of versions without it.
+    #[serde(default = "unknown_data_centre")]
+    pub data_centre: DataCentreId,
+    /// Its share of a processor, in thousandths of a core.
+    #[serde(default)]
+    pub capacity: u32,
+}
+
+fn unknown_data_centre() -> DataCentreId {
+    "".into()
 }
 
 /// What this host knows of another one.
 #[derive(Debug, Clone)]
 struct Peer {
     address: SocketAddr,
+    data_centre: DataCentreId,
+    capacity: u32,
     incarnation: Incarnation,
     number: u64,
     /// When its last report arrived or, before the first one, when it became known.
@@ -67,6 +87,25 @@
     has_on_time: bool,
 }
 
+/// A data centre or the fleet, as reported by its relays.
+#[derive(Debug, Clone, Copy)]
+struct Aggregate {
+    last_heard: Option<Instant>,
+    /// The time up to which customers have been charged for its silence.
+    charged_until: Instant,
+}
+
+/// The part of a source's silence for which customers were not charged yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Silence {
+    /// The silent source.
+    pub source: Source,
+    /// The number of its hosts.
+    pub hosts: usize,
+    /// The time of silence that was not charged yet.
+    pub uncharged: Duration,
+}
+
 impl Peer {
     /// Returns whether its last report is newer than `SILENCE_TIMEOUT`.
     fn is_live(&self, now: Instant) -> bool {
@@ -93,28 +132,45 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: HashMap<HostId, Peer>,
+    aggregates: HashMap<Source, Aggregate>,
+    planner: RelayPlanner,
+    role: Role,
+    /// The number of hosts that a relay of this host's data centre reported last, and when.
+    reported_hosts: Option<(usize, Instant)>,
 }
 
 impl PeerTable {
+    /// Returns whether a report comes from a process that has not reported before.
+    pub fn is_first_report(&self, report: &HostReport) -> bool {
+        let known = self.peers.get(&report.sender.host);
+        known.is_none_or(|peer| peer.number == 0 || peer.incarnation != report.sender.incarnation)
+    }
+
     /// Records a report and tells whether it is the newest of its host. A leaving host is removed.
     pub fn record_report(&mut self, report: &HostReport, now: Instant) -> ReportFreshness {
-        let known = self.peers.get(&report.host);
+        let sender = &report.sender;
+        let known = self.peers.get(&sender.host);
         if let Some(known) = known
-            && known.incarnation == report.incarnation
+            && known.incarnation == sender.incarnation
             && known.number >= report.number
         {
             return ReportFreshness::Stale;
         }
         if report.leaving {
-            self.peers.remove(&report.host);
+            self.peers.remove(&sender.host);
             return ReportFreshness::Newest;
         }
         let registered = known.is_some_and(|peer| peer.registered);
+        if report.reach == Reach::Fleet {
+            self.reported_hosts = Some((report.hosts, now));
+        }
         self.peers.insert(
-            report.host.clone(),
+            sender.host.clone(),
             Peer {
-                address: report.address,
-                incarnation: report.incarnation,
+                address: sender.address,
+                data_centre: sender.data_centre.clone(),
+                capacity: sender.capacity,
+                incarnation: sender.incarnation,
                 number: report.number,
                 last_heard: now,
                 charged_until: now,
@@ -139,6 +195,8 @@
                 _ => {
                     let peer = Peer {
                         address: host.address,
+                        data_centre: host.data_centre.clone(),
+                        capacity: host.capacity,
                         incarnation: host.incarnation,
                         number: 0,
                         last_heard: now,
@@ -168,22 +226,114 @@
         gone
     }
 
-    /// Returns the silent hosts, each with the part of its silence that was not charged yet, and marks that part as charged.
-    pub fn take_uncharged_silence(&mut self, now: Instant) -> Vec<(HostId, Incarnation, Duration)> {
+    /// Records that the relays of a data centre or of the fleet were heard.
+    pub fn record_aggregate(&mut self, source: Source, now: Instant) {
+        let heard = Aggregate {
+            last_heard: Some(now),
+            charged_until: now,
+        };
+        self.aggregates.insert(source, heard);
+    }
+
+    /// Returns the silent sources that this host listens to in its role, and marks their silence as charged. Sources that were not
+    /// heard since this host knows them are silent from then on.
+    pub fn take_uncharged_silence(&mut self, own: &Registration, now: Instant) -> Vec<Silence> {
+        let role = self.role;
         let mut silent = Vec::new();
+        let mut data_centres: HashMap<DataCentreId, usize> = HashMap::new();
         for (host, peer) in &mut self.peers {
-            if !peer.is_live(now) {
-                let uncharged = now.saturating_duration_since(peer.charged_until);
+            let is_heard_itself = role == Role::Direct
+                || (role == Role::Relay && peer.data_centre == own.data_centre);
+            let is_silent = peer.number == 0 || !peer.is_live(now);
+            if is_heard_itself && is_silent {
+                silent.push(Silence {
+                    source: Source::Host(host.clone()),
+                    hosts: 1,
+                    uncharged: now.saturating_duration_since(peer.charged_until),
+                });
+            }
+            if !is_heard_itself || is_silent {
                 peer.charged_until = now;
-                silent.push((host.clone(), peer.incarnation, uncharged));
+            }
+            if role == Role::Relay && peer.data_centre != own.data_centre {
+                *data_centres.entry(peer.data_centre.clone()).or_default() += 1;
+            }
+        }
+        let mut sources: Vec<_> = data_centres
+            .into_iter()
+            .map(|(data_centre, hosts)| (Source::DataCentre(data_centre), hosts))
+            .collect();
+        if role == Role::Member {
+            sources.push((Source::Fleet, self.host_count() - 1));
+        }
+        self.aggregates
+            .retain(|known, _| sources.iter().any(|(source, _)| source == known));
+        for (source, hosts) in sources {
+            let aggregate = self.aggregates.entry(source.clone()).or_insert(Aggregate {
+                last_heard: None,
+                charged_until: now,
+            });
+            let age = aggregate
+                .last_heard
+                .map(|at| now.saturating_duration_since(at));
+            if age.is_none_or(|age| age >= SILENCE_TIMEOUT) {
+                silent.push(Silence {
+                    source,
+                    hosts,
+                    uncharged: now.saturating_duration_since(aggregate.charged_until),
+                });
+                aggregate.charged_until = now;
             }
         }
         silent
     }
 
-    /// Returns the addresses of all known hosts, silent ones included.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.peers.values().map(|peer| peer.address).collect()
+    /// Decides to whom `own` sends which messages from now on.
+    pub fn plan(
+        &mut self,
+        own: &Registration,
+        max_direct_hosts: usize,
+        now: Instant,
+    ) -> ExchangePlan {
+        let ranked = |(id, peer): (&HostId, &Peer)| RankedHost {
+            rank: relay_rank(id, peer.capacity),
+            data_centre: peer.data_centre.clone(),
+            address: peer.address,
+            is_live: peer.is_live(now),
+        };
+        let hosts: Vec<_> = self.peers.iter().map(ranked).collect();
+        self.reported_hosts = self
+            .reported_hosts
+            .filter(|(_, at)| now.saturating_duration_since(*at) < UNREGISTERED_TTL);
+        let fleet_size = self.host_count();
+        let plan = self
+            .planner
+            .plan(own, &hosts, fleet_size, max_direct_hosts, now);
+        self.role = plan.role;
+        plan
+    }
+
+    /// Returns this host's part in the exchange, as last planned.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Returns whether a relay has told this host of the fleet recently.
+    pub fn hears_relays(&self, now: Instant) -> bool {
+        let fleet = self.aggregates.get(&Source::Fleet);
+        let last_heard = fleet.and_then(|fleet| fleet.last_heard);
+        last_heard.is_some_and(|at| now.saturating_duration_since(at) < SILENCE_TIMEOUT)
+    }
+
+    /// Returns whether the sources that this host listens to were heard, so that it knows what others have granted.
+    pub fn is_informed(&self) -> bool {
+        match self.role {
+            Role::Direct => true,
+            Role::Member | Role::Relay => {
+                let mut aggregates = self.aggregates.values();
+                aggregates.any(|aggregate| aggregate.last_heard.is_some())
+            }
+        }
     }
 
     /// Returns whether any live host has a queued request that can still meet its target.
@@ -193,10 +343,20 @@
             .any(|peer| peer.has_on_time && peer.is_live(now))
     }
 
-    /// Returns the live host with the lowest id; `None` if all others are silent.
-    pub fn first_live(&self, now: Instant) -> Option<HostId> {
-        let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
-        live.map(|(host, _)| host).min().cloned()
+    /// Returns whether `own` is the first of all live hosts: the one with the lowest id or, with relays, the first relay of its data
+    /// centre with a lower id than the relays of the others.
+    pub fn is_first_live(&self, own: &Registration, now: Instant) -> bool {
+        let own_rank = relay_rank(&own.host, own.capacity);
+        let is_before = |(id, peer): (&HostId, &Peer)| {
+            let is_neighbour = peer.data_centre == own.data_centre;
+            if self.role == Role::Relay && is_neighbour {
+                relay_rank(id, peer.capacity) < own_rank
+            } else {
+                *id < own.host
+            }
+        };
+        let mut live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
+        self.role != Role::Member && !live.any(is_before)
     }
 
     /// Returns the number of other hosts that are live.
@@ -205,8 +365,15 @@
         live.count()
     }
 
-    /// Returns the number of known hosts, including this one and silent ones.
+    /// Returns the number of known hosts, including this one, silent ones, and those that only a relay knows.
     pub fn host_count(&self) -> usize {
+        let reported = self.reported_hosts.filter(|_| self.role != Role::Relay);
+        let reported = reported.map_or(0, |(hosts, _)| hosts);
+        self.known_hosts().max(reported)
+    }
+
+    /// Returns the number of hosts that this host knows itself, including this one.
+    pub fn known_hosts(&self) -> usize {
         self.peers.len() + 1
     }
 
--- a/src/process/forwarding/report_exchange.rs
+++ b/src/process/forwarding/report_exchange.rs
@@ -1,16 +1,20 @@
 //! The exchange of state reports between hosts.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 
 use crate::prelude::*;
-use crate::process::forwarding::directory::Directory;
 use crate::process::forwarding::fleet::FleetState;
-use crate::process::forwarding::peers::{HostReport, ReportFreshness};
-use crate::process::forwarding::usage::Reporter;
+use crate::process::forwarding::load::Work;
+use crate::process::forwarding::peers::{HostReport, Registration, ReportFreshness};
+use crate::process::forwarding::relays::{ExchangePlan, Role};
+use crate::process::forwarding::source::{Reach, Source};
+use crate::process::forwarding::usage::{FleetKnowledge, Reporter};
+use crate::process::shard::lock;
 
 /// Carries reports between hosts, without a guarantee of delivery.
 #[async_trait]
@@ -24,14 +28,42 @@
 /// The time for which reports repeat a change of a customer's granted tokens, in case some reports are lost.
 const GRANT_REPEAT_TIME: Duration = Duration::from_secs(2);
 
+/// How often reports are sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ExchangeSettings {
+    /// The time for which changes are batched before a report that goes to all hosts, per other host; bounds the traffic between
+    /// many hosts.
+    pub delay_per_host: Duration,
+    /// The longest time between two reports, apart from batching.
+    pub interval: Duration,
+    /// The number of hosts up to which each reports to all others; a larger fleet has relays.
+    pub max_direct_hosts: usize,
+    /// The time for which changes are batched before a report that goes to relays, or comes from one.
+    pub relay_delay: Duration,
+}
+
+impl Default for ExchangeSettings {
+    fn default() -> Self {
+        Self {
+            delay_per_host: Duration::from_millis(1),
+            interval: Duration::from_millis(500),
+            max_direct_hosts: 100,
+            relay_delay: Duration::from_millis(200),
+        }
+    }
+}
+
+impl ExchangeSettings {
+    /// Returns the longest time that a change takes through two relays to all hosts, apart from lost reports.
+    fn longest_relay_delay(&self) -> Duration {
+        self.relay_delay * 3
+    }
+}
+
 /// Sends this host's reports and applies those of the others.
 pub struct ReportExchange {
-    /// The id of this host, to drop its own reports.
-    pub host: HostId,
-    /// The address at which this host receives reports.
-    pub address: SocketAddr,
-    /// The incarnation of this process.
-    pub incarnation: Incarnation,
+    /// This host, as reports and its registration name it.
+    pub own: Registration,
     /// When this process started.
     pub started: Instant,
     /// The state that is reported, and to which reports are applied.
@@ -40,10 +72,10 @@
     pub clock: Arc<dyn Clock>,
     /// Sends and receives reports.
     pub link: Arc<dyn ReportLink>,
-    /// The time for which changes are batched before a report, per other host.
-    pub delay_per_host: Duration,
-    /// The longest time between two reports.
-    pub interval: Duration,
+    /// How often reports are sent.
+    pub settings: ExchangeSettings,
+    /// This host's work as last reported, which relays include in the sum of the fleet.
+    pub reported_work: Mutex<HashMap<UpstreamId, Work>>,
 }
 
 impl ReportExchange {
@@ -52,51 +84,117 @@
     pub async fn send_reports(&self) {
         let mut number = 0;
         loop {
-            let _ = tokio::time::timeout(self.interval, self.state.report_requested()).await;
-            let hosts = self.state.peers().host_count();
-            let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-            tokio::time::sleep(self.delay_per_host * (hosts - 1)).await;
-            number += 1;
-            self.send(number, false).await;
-            self.charge_silent_hosts(self.clock.now());
+            let interval = self.settings.interval;
+            let _ = tokio::time::timeout(interval, self.state.report_requested()).await;
+            self.plan(self.clock.now());
+            tokio::time::sleep(self.batching_delay()).await;
+            self.send(&mut number, false).await;
+            self.charge_silence(self.clock.now());
         }
     }
 
     /// Tells the other hosts that this one shuts down.
     pub async fn announce_leaving(&self) {
-        self.send(u64::MAX, true).await;
+        // No later report follows, and each of the last ones must count as the newest.
+        let mut number = u64::MAX - Reach::Fleet as u64 - 2;
+        self.send(&mut number, true).await;
     }
 
-    async fn send(&self, number: u64, leaving: bool) {
-        let to = self.state.peers().addresses();
-        if to.is_empty() {
-            return;
+    fn batching_delay(&self) -> Duration {
+        let peers = self.state.peers();
+        if peers.role() == Role::Direct {
+            let others = u32::try_from(peers.host_count() - 1).unwrap_or(u32::MAX);
+            self.settings.delay_per_host.saturating_mul(others)
+        } else {
+            self.settings.relay_delay
         }
+    }
+
+    async fn send(&self, number: &mut u64, leaving: bool) {
         let now = self.clock.now();
+        let plan = self.plan(now);
+        let messages = [
+            (Reach::Host, &plan.reports[..]),
+            (Reach::DataCentre, &plan.remote_relays[..]),
+            (Reach::Fleet, &plan.members[..]),
+        ];
+        for (reach, to) in messages {
+            if !to.is_empty() {
+                *number += 1;
+                let report = self.report(reach, plan.role, *number, leaving, now);
+                self.link.send(to, &report).await;
+            }
+        }
+    }
+
+    /// Plans to whom this host reports, and records what it knows of the fleet.
+    fn plan(&self, now: Instant) -> ExchangePlan {
+        let mut peers = self.state.peers();
+        let before = peers.role();
+        let plan = peers.plan(&self.own, self.settings.max_direct_hosts, now);
+        let hosts = peers.host_count();
+        let is_informed = peers.is_informed();
+        drop(peers);
+        if plan.role != before {
+            log::info!(target: "peers", "reports: {:?} instead of {before:?}, {hosts} hosts", plan.role);
+        }
+        self.state.usage.set_knowledge(FleetKnowledge {
+            hosts,
+            relay_delay: (plan.role != Role::Direct).then(|| self.settings.longest_relay_delay()),
+            is_informed,
+        });
+        plan
+    }
+
+    fn report(
+        &self,
+        reach: Reach,
+        role: Role,
+        number: u64,
+        leaving: bool,
+        now: Instant,
+    ) -> HostReport {
+        let state = &self.state;
         let since = now.checked_sub(GRANT_REPEAT_TIME).unwrap_or(self.started);
-        let report = HostReport {
-            host: self.host.clone(),
-            address: self.address,
-            incarnation: self.incarnation,
+        let work = state.loads.work_within(reach, now);
+        if reach == Reach::Host {
+            *lock(&self.reported_work) = work.iter().cloned().collect();
+        }
+        let (hosts, others_on_time) = {
+            let peers = state.peers();
+            let others_on_time = reach > Reach::Host && peers.has_on_time_waiter(now);
+            (peers.known_hosts(), others_on_time)
+        };
+        let version = state.config.current().version;
+        HostReport {
+            sender: self.own.clone(),
+            reach,
             number,
             uptime: now.saturating_duration_since(self.started),
-            version: self.state.config.current().version,
+            hosts,
+            version: if reach == Reach::Host {
+                version
+            } else {
+                version.max(state.newest_peer_version())
+            },
             leaving,
-            granted: self.state.usage.granted_since(since),
-            work: self.state.loads.own_work(),
-            unwell: self.state.loads.unhealthy_reports(now),
-            left: self.state.with_directory(Directory::recently_left),
-            has_on_time: self.state.queues.has_on_time_waiter(now),
-            crashes: self.state.recent_crashes(now),
-        };
-        self.link.send(&to, &report).await;
+            usage: state.usage.totals_since(reach, since),
+            work,
+            unwell: state.loads.unhealthy_reports(reach, now),
+            left: state.recently_left(reach, now),
+            has_on_time: others_on_time || state.queues.has_on_time_waiter(now),
+            crashes: state.recent_crashes(reach, now),
+            list: (role != Role::Direct)
+                .then(|| state.list_news(now))
+                .flatten(),
+        }
     }
 
     /// Applies the reports of other hosts until dropped.
     pub async fn receive_reports(&self) {
         loop {
             let report = self.link.receive().await;
-            if report.host != self.host {
+            if report.sender.host != self.own.host {
                 self.apply_report(&report, self.clock.now());
             }
         }
@@ -104,46 +202,112 @@
 
     /// Applies a report unless a newer one of the same host has arrived.
     pub fn apply_report(&self, report: &HostReport, now: Instant) {
-        if self.state.peers().record_report(report, now) == ReportFreshness::Stale {
-            return;
-        }
-        let reporter = Reporter {
-            host: &report.host,
-            incarnation: report.incarnation,
-            started_later: report.uptime < now.saturating_duration_since(self.started),
+        let sender = &report.sender;
+        let role = {
+            let mut peers = self.state.peers();
+            let is_first = peers.is_first_report(report);
+            if peers.record_report(report, now) == ReportFreshness::Stale {
+                return;
+            }
+            if is_first && peers.role() == Role::Relay {
+                // A host that has just started waits for the sum of the fleet.
+                self.state.request_report();
+            }
+            peers.role()
         };
-        for (customer, granted) in &report.granted {
-            self.state
-                .usage
-                .apply_granted(reporter, customer, *granted, now);
+        if let Some(source) = self.source_of(report, role) {
+            self.apply_sums(&source, report, now);
         }
-        self.state
-            .loads
-            .apply_report(&report.host, &report.work, now);
+        // Only what hosts of the same data centre found themselves is news for the relays of others.
+        let is_neighbour = sender.data_centre == self.own.data_centre;
+        let found = if is_neighbour && report.reach == Reach::Host {
+            Reach::DataCentre
+        } else {
+            Reach::Fleet
+        };
         for crash in &report.crashes {
-            self.state.record_crash(crash, false, now);
+            self.state.record_crash(crash, found, now);
         }
         self.state.record_peer_version(report.version);
-        self.state.mark_left(&report.left);
+        self.state.mark_left(&report.left, found, now);
         for unhealthy in &report.unwell {
-            self.state.loads.apply_unhealthy_report(unhealthy, now);
+            self.state
+                .loads
+                .apply_unhealthy_report(unhealthy, found, now);
+        }
+        if let Some(news) = &report.list {
+            self.state.apply_list_news(news, now);
         }
         self.state.queues.wake_heads(now);
         if report.leaving {
-            self.state.usage.forget_host(&report.host);
+            self.state.usage.forget(&Source::Host(sender.host.clone()));
+        }
+    }
+
+    /// Returns the source whose work and usage a report sums up; `None` if this host hears of it from another source, so that it
+    /// would count twice.
+    fn source_of(&self, report: &HostReport, role: Role) -> Option<Source> {
+        let sender = &report.sender;
+        let is_neighbour = sender.data_centre == self.own.data_centre;
+        match (role, report.reach) {
+            (Role::Direct, Reach::Host) => Some(Source::Host(sender.host.clone())),
+            (Role::Relay, Reach::Host) if is_neighbour => Some(Source::Host(sender.host.clone())),
+            (Role::Relay, Reach::DataCentre) if !is_neighbour => {
+                Some(Source::DataCentre(sender.data_centre.clone()))
+            }
+            (Role::Member, Reach::Fleet) if is_neighbour => Some(Source::Fleet),
+            _ => None,
+        }
+    }
+
+    fn apply_sums(&self, source: &Source, report: &HostReport, now: Instant) {
+        let uptime = now.saturating_duration_since(self.started);
+        let reporter = Reporter {
+            host: &report.sender.host,
+            incarnation: report.sender.incarnation,
+            started_later: report.uptime < uptime,
+        };
+        if !matches!(source, Source::Host(_)) {
+            self.state.peers().record_aggregate(source.clone(), now);
+        }
+        let usage = &self.state.usage;
+        for (customer, totals) in &report.usage {
+            usage.apply_totals(source, reporter, customer, *totals, now);
+        }
+        if *source == Source::Fleet {
+            let others = self.without_own_work(&report.work);
+            self.state.loads.apply_report(source, &others, now);
+        } else {
+            self.state.loads.apply_report(source, &report.work, now);
         }
     }
 
+    /// Returns the work of the fleet without this host's own, which the sum contains as it was last reported.
+    fn without_own_work(&self, fleet: &[(UpstreamId, Work)]) -> Vec<(UpstreamId, Work)> {
+        let own = lock(&self.reported_work);
+        let others = fleet.iter().map(|(upstream, work)| {
+            let mut others = *work;
+            others.remove(own.get(upstream).copied().unwrap_or_default());
+            (upstream.clone(), others)
+        });
+        others.collect()
+    }
+
     /// Charges all customers for the tokens that silent hosts are assumed to grant.
-    fn charge_silent_hosts(&self, now: Instant) {
+    fn charge_silence(&self, now: Instant) {
         let (silent, hosts) = {
             let mut peers = self.state.peers();
-            (peers.take_uncharged_silence(now), peers.host_count())
+            let silent = peers.take_uncharged_silence(&self.own, now);
+            (silent, peers.host_count())
         };
-        for (host, incarnation, uncharged) in silent {
-            self.state
-                .usage
-                .charge_silent_hosts(&[(host, incarnation)], hosts, uncharged, now);
+        for silence in silent {
+            self.state.usage.charge_silence(
+                &silence.source,
+                silence.hosts,
+                hosts,
+                silence.uncharged,
+                now,
+            );
         }
     }
 }
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -5,6 +5,7 @@
 
 use crate::process::forwarding::directory::DirectorySettings;
 use crate::process::forwarding::load::LoadSettings;
+use crate::process::forwarding::report_exchange::ExchangeSettings;
 use crate::process::forwarding::retry_budget::RetryBudgetSettings;
 use crate::process::forwarding::selection::SelectionSettings;
 use crate::process::forwarding::stage_plan::StagePlanSettings;
@@ -37,10 +38,14 @@
     pub max_store_backoff: Duration,
     /// The time to live of this host's registration, which is renewed after each third of it.
     pub registration_ttl: Duration,
-    /// The time for which changes are batched before a report, per other host; bounds the traffic between many hosts.
-    pub report_delay_per_host: Duration,
-    /// The longest time between two reports, apart from batching.
-    pub report_interval: Duration,
+    /// The spread of the relays' reads of the list of upstreams after `directory_interval`.
+    pub relay_list_spread: Duration,
+    /// The spread of the reads by hosts that hear nothing of the list from relays, after `max_directory_interval`.
+    pub member_list_spread: Duration,
+    /// How often hosts report to each other, and through how many relays.
+    pub exchange: ExchangeSettings,
+    /// The share of a processor that this host has, in thousandths of a core; hosts with more become relays first.
+    pub capacity: u32,
     /// The time between SIGTERM and the kill; open requests are cut off shortly before its end.
     pub grace: Duration,
     /// The time after SIGTERM for which new connections are still accepted, because the load balancer stops sending them only after
@@ -78,8 +83,10 @@
             store_backoff: Duration::from_millis(200),
             max_store_backoff: Duration::from_millis(1500),
             registration_ttl: Duration::from_secs(10),
-            report_delay_per_host: Duration::from_millis(1),
-            report_interval: Duration::from_millis(500),
+            relay_list_spread: Duration::from_millis(1200),
+            member_list_spread: Duration::from_secs(2),
+            exchange: ExchangeSettings::default(),
+            capacity: 1000,
             grace: Duration::from_secs(8),
             drain_delay: Duration::from_millis(2300),
             retries: RetryBudgetSettings::default(),
@@ -111,6 +118,15 @@
             grace: fields.duration("grace", defaults.grace),
             first_start: fields.value("first_start", "true or false", defaults.first_start),
             order_quiet: fields.duration("order_quiet", defaults.order_quiet),
+            capacity: read_capacity(fields, defaults.capacity),
+            exchange: ExchangeSettings {
+                max_direct_hosts: fields.value(
+                    "max_direct_hosts",
+                    "a number of hosts",
+                    defaults.exchange.max_direct_hosts,
+                ),
+                ..defaults.exchange.clone()
+            },
             stage_plan: StagePlanSettings {
                 prefill_part: fields.value(
                     "prefill_part",
@@ -137,3 +153,20 @@
         settings
     }
 }
+
+/// Reads the share of a processor that the host has, which the settings give in cores.
+fn read_capacity(fields: &mut Fields<'_>, default: u32) -> u32 {
+    let cores: f64 = fields.value(
+        "cpu_share",
+        "a number of cores",
+        f64::from(default) / 1000.0,
+    );
+    if !(0.0..=1000.0).contains(&cores) {
+        fields.problem("cpu_share", "not between 0 and 1000 cores");
+        return default;
+    }
+    // The range was checked above.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let capacity = (cores * 1000.0).round() as u32;
+    capacity
+}
--- a/src/process/forwarding/stage_controller.rs
+++ b/src/process/forwarding/stage_controller.rs
@@ -9,6 +9,7 @@
 
 use crate::prelude::*;
 use crate::process::forwarding::fleet::FleetState;
+use crate::process::forwarding::peers::Registration;
 use crate::process::forwarding::stage_plan::{StageChange, StagePlanSettings, plan_stage_changes};
 use crate::process::orders::leadership::LeaderRecord;
 use crate::request::forward::codec::{CallCodec, StageOrder};
@@ -41,10 +42,8 @@
 
 /// Sends stage orders to engines while this host holds the lease.
 pub struct StageController {
-    /// The id of this host, which the lease's entry and the orders name.
-    pub host: HostId,
-    /// The incarnation of this process.
-    pub incarnation: Incarnation,
+    /// This host, which the lease's entry and the orders name.
+    pub own: Registration,
     /// When this process started.
     pub started: Instant,
     /// The registered engines and the other hosts.
@@ -82,7 +81,7 @@
             tokio::time::sleep(CHECK_INTERVAL).await;
             let now = self.clock.now();
             ordered.retain(|_, at| now.saturating_duration_since(*at) < REORDER_DELAY);
-            if !self.is_lowest_live_host() || self.due_changes(&ordered).is_empty() {
+            if !self.is_first_live_host() || self.due_changes(&ordered).is_empty() {
                 continue;
             }
             if let Some(lease) = lease
@@ -106,12 +105,10 @@
         }
     }
 
-    /// Returns whether this host has the lowest id of all live hosts. If two hosts find that of themselves, the lease decides.
-    fn is_lowest_live_host(&self) -> bool {
-        self.state
-            .peers()
-            .first_live(self.clock.now())
-            .is_none_or(|first| self.host < first)
+    /// Returns whether this host is the first of all live hosts. If two hosts find that of themselves, the lease decides.
+    fn is_first_live_host(&self) -> bool {
+        let now = self.clock.now();
+        self.state.peers().is_first_live(&self.own, now)
     }
 
     /// Returns the stage changes that are due. Engines that were recently ordered to change count as changed.
@@ -137,8 +134,8 @@
         let requested_at = self.clock.now();
         let lease = self.store.grant_lease(LEASE_TTL).await?;
         let holder = LeaderRecord {
-            host: self.host.clone(),
-            incarnation: self.incarnation,
+            host: self.own.host.clone(),
+            incarnation: self.own.incarnation,
         };
         let value = serde_json::to_vec(&holder).unwrap_or_default();
         let fence = self
@@ -171,7 +168,7 @@
             let order = StageOrder {
                 upstream: change.instance.id.clone(),
                 stage: change.stage,
-                holder: self.host.clone(),
+                holder: self.own.host.clone(),
                 fence: lease.fence,
             };
             let limits = SendLimits {
--- a/src/process/forwarding/store_watchers.rs
+++ b/src/process/forwarding/store_watchers.rs
@@ -8,11 +8,14 @@
 use tokio::sync::Notify;
 
 use crate::prelude::*;
+use crate::process::forwarding::directory::Directory;
 use crate::process::forwarding::fleet::FleetState;
 use crate::process::forwarding::peers::Registration;
+use crate::process::forwarding::relays::Role;
 use crate::process::forwarding::settings::ForwardingSettings;
+use crate::process::forwarding::source::Source;
 use crate::process::forwarding::state_codec::StateCodec;
-use crate::process::shard::lock;
+use crate::process::shard::{lock, stable_hash};
 
 /// The prefix of the keys under which hosts register.
 const HOST_PREFIX: &str = "hosts/";
@@ -21,6 +24,13 @@
 /// waiting for its watch.
 const MAX_VERSION_LAG: Duration = Duration::from_millis(250);
 
+/// The time between two checks whether a host that reads the store only on others' news still hears them.
+const NEWS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The longest time that a host waits before it reads the list of upstreams because the news of it was incomplete. The news of
+/// another relay may be complete, and hosts that miss the same change should not all read at once.
+const MAX_INCOMPLETE_DELAY: Duration = Duration::from_millis(400);
+
 /// Applies changes in the store to the host's state, and registers the host there.
 pub struct StoreWatchers {
     /// The state to which changes are applied.
@@ -107,6 +117,13 @@
             let mut after = listed.revision;
             loop {
                 // A watch on a dead connection reports no changes; other hosts' reports show that one was missed.
+                if self.hears_relays() {
+                    let delay = MAX_VERSION_LAG.mul_f64(rand::random());
+                    tokio::select! {
+                        () = self.state.wait_until_outdated(delay) => break,
+                        () = tokio::time::sleep(NEWS_CHECK_INTERVAL) => continue,
+                    }
+                }
                 let watched = tokio::select! {
                     watched = self.store.watch_as_of(key, after, self.settings.watch_wait) => watched,
                     () = self.state.wait_until_outdated(MAX_VERSION_LAG) => break,
@@ -156,10 +173,10 @@
         let mut backoff = Backoff::new("list of upstreams", &self.settings);
         loop {
             let requested_at = self.clock.now();
-            match self.store.list(self.codec.upstream_prefix()).await {
-                Ok(entries) => {
+            match self.store.list_as_of(self.codec.upstream_prefix()).await {
+                Ok(listed) => {
                     backoff.succeeded();
-                    self.apply_list(&entries, requested_at);
+                    self.apply_list(&listed.value, listed.revision, requested_at);
                     self.wait_for_next_list(requested_at).await;
                 }
                 Err(e) => {
@@ -170,30 +187,59 @@
         }
     }
 
-    /// Waits until the list requested at `requested_at` must be read again. The interval is computed again meanwhile: a
-    /// host that receives nothing from the others must read the list more often, as none reports to it what has left.
+    /// Waits until the list must be read again, which this host requested last at `requested_at`. The interval is computed again
+    /// meanwhile: a host that receives nothing from the others must read the list more often, as none reports to it what has left.
     async fn wait_for_next_list(&self, requested_at: Instant) {
         loop {
-            let age = self.clock.now().saturating_duration_since(requested_at);
+            let listed = self.state.with_directory(Directory::last_listed);
+            let listed = listed.map_or(requested_at, |at| at.max(requested_at));
+            let age = self.clock.now().saturating_duration_since(listed);
             let left = self.list_interval().saturating_sub(age);
             if left.is_zero() {
                 return;
             }
-            tokio::time::sleep(left.min(self.settings.directory_interval)).await;
+            tokio::select! {
+                () = tokio::time::sleep(left.min(self.settings.directory_interval)) => {}
+                () = self.state.list_incomplete() => {
+                    tokio::time::sleep(MAX_INCOMPLETE_DELAY.mul_f64(rand::random())).await;
+                    if self.state.with_directory(Directory::last_listed) <= Some(listed) {
+                        return;
+                    }
+                }
+            }
         }
     }
 
-    /// Returns the time between two reads of the list of upstreams, which grows with the number of live hosts: each of them reads
-    /// the list and reports what has left.
+    /// Returns the age of the list of upstreams at which this host reads it again. The news of other hosts makes it younger. So
+    /// that few hosts read, each waits for a different time after the interval.
     fn list_interval(&self) -> Duration {
         let settings = &self.settings;
-        let live = self.state.peers().live_count(self.clock.now());
-        let live = u32::try_from(live).unwrap_or(u32::MAX);
-        let shared = settings.directory_interval_per_host.saturating_mul(live);
-        shared.clamp(settings.directory_interval, settings.max_directory_interval)
+        let (role, live) = {
+            let peers = self.state.peers();
+            (peers.role(), peers.live_count(self.clock.now()))
+        };
+        let place = stable_hash(&self.registration.host) % 1000;
+        let place = place as f64 / 1000.0;
+        let (interval, spread) = match role {
+            Role::Direct => {
+                let live = u32::try_from(live).unwrap_or(u32::MAX);
+                let shared = settings.directory_interval_per_host.saturating_mul(live);
+                let longest = settings.max_directory_interval;
+                return shared.clamp(settings.directory_interval, longest);
+            }
+            Role::Relay => (settings.directory_interval, settings.relay_list_spread),
+            Role::Member => (settings.max_directory_interval, settings.member_list_spread),
+        };
+        interval + spread.mul_f64(place)
     }
 
-    fn apply_list(&self, entries: &[StoreEntry], requested_at: Instant) {
+    /// Returns whether this host hears of changes from relays, so that it need not read the store itself.
+    fn hears_relays(&self) -> bool {
+        let peers = self.state.peers();
+        peers.role() == Role::Member && peers.hears_relays(self.clock.now())
+    }
+
+    fn apply_list(&self, entries: &[StoreEntry], revision: Revision, requested_at: Instant) {
         let mut listed = Vec::with_capacity(entries.len());
         for entry in entries {
             match self.codec.read_upstream(&entry.key, &entry.value) {
@@ -205,24 +251,11 @@
                 }
             }
         }
-        let change = self.state.apply_list(listed, requested_at);
-        for instance in &change.started {
-            log::info!(target: "upstream", "upstream {} of service {} started or restarted: stage {:?} at {} in data centre {}", instance.id, instance.service, instance.stage, instance.address, instance.data_centre);
-        }
-        for instance in &change.left {
-            let state = if instance.draining {
-                "drains"
-            } else {
-                "is no longer listed"
-            };
-            log::info!(target: "upstream", "upstream {} of service {} {state}; it gets no new work", instance.id, instance.service);
-        }
-        if !change.left.is_empty() {
+        let change = self.state.apply_list(listed, revision, requested_at);
+        let is_relay = self.state.peers().role() == Role::Relay;
+        if is_relay || !change.left.is_empty() {
             self.state.request_report();
         }
-        if change.kept > 0 {
-            log::info!(target: "upstream", "{} unlisted upstreams kept, because the store was just unavailable", change.kept);
-        }
     }
 
     /// Registers this host and renews its lease until dropped; registers again after each loss of the lease.
@@ -326,7 +359,8 @@
         let gone = self.state.peers().apply_registrations(&hosts, now);
         for host in gone {
             log::info!(target: "peers", "host {host} removed: it is silent and not registered");
-            self.state.usage.forget_host(&host);
+            self.state.usage.forget(&Source::Host(host));
         }
+        self.state.request_report();
     }
 }
--- a/src/process/forwarding/usage.rs
+++ b/src/process/forwarding/usage.rs
@@ -1,22 +1,35 @@
 //! Enforces customers' rates and bursts over all hosts. Performs no I/O and reads no clock.
 //!
 //! Every host keeps a token bucket per customer, and charges it for its own requests and for the grants that other hosts report. A
-//! silent host is assumed to grant its even share of the rate until it reports again. So after a network partition both groups of
-//! hosts together grant no more than the rate, and at most one burst each.
+//! silent source of reports is assumed to grant its hosts' even share of the rate until it reports again. So after a network
+//! partition both groups of hosts together grant no more than the rate, and at most one burst each.
+//!
+//! In a large fleet reports take up to a second, and all hosts see the same tokens at once. There a request is granted for certain
+//! only if the bucket also holds what the whole fleet may be asked for meanwhile; otherwise it is granted with the probability with
+//! which the expected grants of all hosts together match the rate.
+
+mod bucket;
 
 use std::collections::HashMap;
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+pub use crate::process::forwarding::usage::bucket::{Reporter, UsageTotals};
+
 use crate::prelude::*;
-use crate::process::shard::Shards;
+use crate::process::forwarding::source::{Reach, Source};
+use crate::process::forwarding::usage::bucket::Bucket;
+use crate::process::shard::{Shards, lock};
 use crate::version::forwarding::ForwardCustomer;
 
 /// How much of a burst a new host and small requests may use.
 #[derive(Debug, Clone, PartialEq)]
 pub struct UsageSettings {
-    /// The fraction of a burst that a host may grant right after its start. Hosts that start at the same time don't know of each
-    /// other's grants yet, so their fractions add up.
+    /// The fraction of a burst that a host may grant right after its start, at most.
     pub initial_level: f64,
+    /// The fraction of a burst that all hosts together may grant if all of them start at the same time and don't know of each
+    /// other's grants yet.
+    pub initial_fleet_level: f64,
     /// The fraction of a burst up to which a request counts as small, and which is kept for small requests, so that they don't wait
     /// behind large ones. A large request costs as much as some dozens of small ones.
     pub small_request_fraction: f64,
@@ -29,99 +42,59 @@
     fn default() -> Self {
         Self {
             initial_level: 0.25,
+            initial_fleet_level: 2.25,
             small_request_fraction: 0.02,
             small_request_overdraft: 0.25,
         }
     }
 }
 
-/// The result of charging a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ChargeOutcome {
-    /// The request was charged and may run.
-    Granted,
-    /// The request was queued, because its tokens are available only after this time.
-    Queued(Duration),
-}
+/// The time in which a bucket that is above or below zero should return there, where grants are a matter of probability. It is
+/// longer than reports take, so that the grants of all hosts don't swing.
+const LEVEL_RETURN_TIME: Duration = Duration::from_secs(2);
 
-/// The tokens that a host has granted to a customer since its start, less those refunded.
-pub type GrantedTokens = i64;
+/// The `Retry-After` of a request that a host of a large fleet refuses because it has not heard of the others' grants yet. The
+/// first report arrives within about this time.
+const UNHEARD_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Another host's grants to one customer.
-#[derive(Debug, Clone, Copy)]
-struct PeerGrants {
-    incarnation: Incarnation,
-    /// The total that it reported last.
-    granted: GrantedTokens,
-    /// The tokens charged for it since, while it was silent.
-    assumed: f64,
-}
+/// The shortest `Retry-After` of a request that is refused by chance.
+const MIN_CHANCE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// One customer's token bucket.
-#[derive(Debug)]
-struct Bucket {
-    /// Tokens per second.
-    rate: f64,
-    burst: f64,
-    /// The tokens available; negative while the bucket is overdrawn.
-    level: f64,
-    /// The tokens of requests that wait for the bucket to refill.
-    queued: f64,
-    refilled_at: Instant,
-    /// The tokens that this host has granted.
-    granted: GrantedTokens,
-    /// When `granted` last changed.
-    granted_changed_at: Instant,
-    peers: HashMap<HostId, PeerGrants>,
+/// What a host knows of the fleet when it grants a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetKnowledge {
+    /// The number of all hosts, this one included.
+    pub hosts: usize,
+    /// The time that reports take through relays; `None` if hosts report to each other directly, within milliseconds.
+    pub relay_delay: Option<Duration>,
+    /// Whether other hosts' grants were reported since the start of this host.
+    pub is_informed: bool,
 }
 
-impl Bucket {
-    fn new(customer: &ForwardCustomer, initial_level: f64, now: Instant) -> Self {
-        let burst = customer.burst as f64;
+impl Default for FleetKnowledge {
+    fn default() -> Self {
         Self {
-            rate: customer.rate as f64,
-            burst,
-            level: burst * initial_level,
-            queued: 0.0,
-            refilled_at: now,
-            granted: 0,
-            granted_changed_at: now,
-            peers: HashMap::new(),
+            hosts: 1,
+            relay_delay: None,
+            is_informed: true,
         }
     }
-
-    fn refill(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.refilled_at);
-        self.refilled_at = self.refilled_at.max(now);
-        self.level = (self.level + elapsed.as_secs_f64() * self.rate).min(self.burst);
-    }
-
-    fn grant(&mut self, tokens: Tokens, now: Instant) {
-        self.debit(tokens as f64);
-        self.granted += signed(tokens);
-        self.granted_changed_at = now;
-    }
-
-    fn debit(&mut self, tokens: f64) {
-        self.level = (self.level - tokens).min(self.burst);
-    }
 }
 
-/// The host that a report of grants comes from.
-#[derive(Debug, Clone, Copy)]
-pub struct Reporter<'a> {
-    /// The host that reports.
-    pub host: &'a HostId,
-    /// The incarnation of its process; a restart begins to count from 0.
-    pub incarnation: Incarnation,
-    /// Whether it started after this host, so that even its first report must be charged in full.
-    pub started_later: bool,
+/// The result of charging a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChargeOutcome {
+    /// The request was charged and may run.
+    Granted,
+    /// The request was queued, because its tokens are available only after this time.
+    Queued(Duration),
 }
 
 /// The token buckets of all customers, in shards under a lock each.
 #[derive(Debug, Default)]
 pub struct UsageTracker {
     settings: UsageSettings,
+    knowledge: Mutex<FleetKnowledge>,
     buckets: Shards<HashMap<CustomerId, Bucket>>,
 }
 
@@ -130,46 +103,66 @@
     pub fn new(settings: UsageSettings) -> Self {
         Self {
             settings,
-            buckets: Shards::default(),
+            ..Self::default()
         }
     }
 
+    /// Records what this host knows of the fleet from now on.
+    pub fn set_knowledge(&self, knowledge: FleetKnowledge) {
+        *lock(&self.knowledge) = knowledge;
+    }
+
+    fn knowledge(&self) -> FleetKnowledge {
+        *lock(&self.knowledge)
+    }
+
+    /// Returns the fraction of a burst with which a bucket starts. Hosts that start at the same time don't know of each other's
+    /// grants yet, so their fractions add up.
+    fn initial_level(&self, hosts: usize) -> f64 {
+        let share = self.settings.initial_fleet_level / hosts.max(1) as f64;
+        self.settings.initial_level.min(share)
+    }
+
     /// Creates buckets for customers that have none, so that other hosts' grants to them count from now on.
     pub fn add_customers<'a>(
         &self,
         customers: impl IntoIterator<Item = &'a ForwardCustomer>,
         now: Instant,
     ) {
+        let initial_level = self.initial_level(self.knowledge().hosts);
         for customer in customers {
             let mut buckets = self.buckets.lock(&customer.id);
             buckets
                 .entry(customer.id.clone())
-                .or_insert_with(|| Bucket::new(customer, self.settings.initial_level, now));
+                .or_insert_with(|| Bucket::new(customer, initial_level, now));
         }
     }
 
     /// Charges a request, or queues it if its tokens are available within `max_wait`. A queued request must be followed up with
-    /// `charge_queued` or `cancel_queued`.
+    /// `charge_queued` or `cancel_queued`. `draw` is uniformly distributed from 0 to 1.
     ///
     /// # Errors
-    /// Returns the time until the tokens are available if it is longer than `max_wait`; nothing is charged then.
+    /// Returns the time after which a repeat may be granted; nothing is charged then.
     pub fn charge(
         &self,
         customer: &ForwardCustomer,
         tokens: Tokens,
         max_wait: Duration,
+        draw: f64,
         now: Instant,
     ) -> Result<ChargeOutcome, Duration> {
         if customer.rate == 0 {
             return Ok(ChargeOutcome::Granted);
         }
+        let knowledge = self.knowledge();
         let mut buckets = self.buckets.lock(&customer.id);
         let bucket = buckets
             .entry(customer.id.clone())
-            .or_insert_with(|| Bucket::new(customer, self.settings.initial_level, now));
+            .or_insert_with(|| Bucket::new(customer, self.initial_level(knowledge.hosts), now));
         bucket.rate = customer.rate as f64;
         bucket.burst = customer.burst as f64;
         bucket.refill(now);
+        bucket.request(tokens, now);
         let small_request_limit = bucket.burst * self.settings.small_request_fraction;
         let wanted = tokens as f64;
         let required_level = if wanted <= small_request_limit {
@@ -180,6 +173,17 @@
         };
         let wait = ((required_level - bucket.level) / bucket.rate).max(0.0);
         let wait = Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX);
+        if let Some(delay) = knowledge.relay_delay {
+            if !knowledge.is_informed && !wait.is_zero() {
+                return Err(wait.min(UNHEARD_RETRY_AFTER));
+            }
+            if wanted > small_request_limit && draw >= grant_probability(bucket, wanted, delay, now)
+            {
+                return Err(wait.max(MIN_CHANCE_RETRY_AFTER));
+            }
+            bucket.grant(tokens, now);
+            return Ok(ChargeOutcome::Granted);
+        }
         if wait.is_zero() {
             bucket.grant(tokens, now);
             return Ok(ChargeOutcome::Granted);
@@ -216,88 +220,59 @@
             return;
         };
         bucket.refill(now);
-        bucket.debit(-(tokens as f64));
-        bucket.granted -= signed(tokens);
-        bucket.granted_changed_at = now;
+        bucket.refund(tokens, now);
     }
 
-    /// Charges what another host has granted since its last report, less what was assumed for it while it was silent.
-    pub fn apply_granted(
+    /// Charges what a source has granted since its last report, less what was assumed for it while it was silent.
+    pub fn apply_totals(
         &self,
+        source: &Source,
         reporter: Reporter<'_>,
         customer: &CustomerId,
-        granted: GrantedTokens,
+        totals: UsageTotals,
         now: Instant,
     ) {
         let mut buckets = self.buckets.lock(customer);
-        let Some(bucket) = buckets.get_mut(customer) else {
-            return;
-        };
-        bucket.refill(now);
-        let known = bucket.peers.get(reporter.host).copied();
-        let known = known.filter(|peer| peer.incarnation == reporter.incarnation);
-        let (before, assumed) = match known {
-            Some(peer) => (peer.granted, peer.assumed),
-            None if reporter.started_later => (0, 0.0),
-            None => (granted, 0.0),
-        };
-        bucket.debit((granted - before) as f64 - assumed);
-        bucket.peers.insert(
-            reporter.host.clone(),
-            PeerGrants {
-                incarnation: reporter.incarnation,
-                granted,
-                assumed: 0.0,
-            },
-        );
+        if let Some(bucket) = buckets.get_mut(customer) {
+            bucket.apply(source, reporter, totals, now);
+        }
     }
 
-    /// Charges all customers for what `silent` hosts are assumed to have granted during `elapsed`: an even share of the rate each.
-    /// `hosts` is the number of all hosts.
-    pub fn charge_silent_hosts(
+    /// Charges all customers for what the `silent_hosts` of a source are assumed to have granted during `elapsed`: an even share of
+    /// the rate each. `hosts` is the number of all hosts.
+    pub fn charge_silence(
         &self,
-        silent: &[(HostId, Incarnation)],
+        source: &Source,
+        silent_hosts: usize,
         hosts: usize,
         elapsed: Duration,
         now: Instant,
     ) {
-        if silent.is_empty() {
-            return;
-        }
+        let share = silent_hosts as f64 / hosts.max(1) as f64 * elapsed.as_secs_f64();
         for mut buckets in self.buckets.iter() {
             for bucket in buckets.values_mut() {
-                bucket.refill(now);
-                let share = bucket.rate / hosts.max(1) as f64 * elapsed.as_secs_f64();
-                for (host, incarnation) in silent {
-                    bucket.debit(share);
-                    let peer = bucket.peers.entry(host.clone()).or_insert(PeerGrants {
-                        incarnation: *incarnation,
-                        granted: 0,
-                        assumed: 0.0,
-                    });
-                    peer.assumed += share;
-                }
+                bucket.assume(source, bucket.rate * share, now);
             }
         }
     }
 
-    /// Drops what a host that is gone for good has reported; what was charged for it stays.
-    pub fn forget_host(&self, host: &HostId) {
+    /// Drops what a source that is gone for good has reported; what was charged for it stays.
+    pub fn forget(&self, source: &Source) {
         for mut buckets in self.buckets.iter() {
             for bucket in buckets.values_mut() {
-                bucket.peers.remove(host);
+                bucket.forget(source);
             }
         }
     }
 
-    /// Returns this host's total grants per customer, for customers whose total has changed since `since`, to report them.
-    pub fn granted_since(&self, since: Instant) -> Vec<(CustomerId, GrantedTokens)> {
+    /// Returns the totals within `reach` per customer, for customers whose totals have changed since `since`, to report them.
+    pub fn totals_since(&self, reach: Reach, since: Instant) -> Vec<(CustomerId, UsageTotals)> {
         let mut changed = Vec::new();
-        for buckets in self.buckets.iter() {
-            let recent = buckets
-                .iter()
-                .filter(|(_, bucket)| bucket.granted_changed_at >= since);
-            changed.extend(recent.map(|(customer, bucket)| (customer.clone(), bucket.granted)));
+        for mut buckets in self.buckets.iter() {
+            for (customer, bucket) in buckets.iter_mut() {
+                let totals = bucket.totals_since(reach, since);
+                changed.extend(totals.map(|totals| (customer.clone(), totals)));
+            }
         }
         changed
     }
@@ -316,6 +291,14 @@
     }
 }
 
-fn signed(tokens: Tokens) -> GrantedTokens {
-    GrantedTokens::try_from(tokens).unwrap_or(GrantedTokens::MAX)
+/// Returns the probability with which a host of a large fleet grants a request of `wanted` tokens, where other hosts learn of the
+/// grant after `delay`.
+fn grant_probability(bucket: &Bucket, wanted: f64, delay: Duration, now: Instant) -> f64 {
+    let demand = bucket.demand(now);
+    let unreported = (demand - bucket.rate).max(0.0) * delay.as_secs_f64();
+    if bucket.level >= (wanted + unreported).min(bucket.burst) {
+        return 1.0;
+    }
+    let affordable = bucket.rate + bucket.level / LEVEL_RETURN_TIME.as_secs_f64();
+    (affordable / demand.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
 }
--- /dev/null
+++ b/src/process/forwarding/usage/bucket.rs
@@ -0,0 +1,292 @@
+//! One customer's token bucket, and what others reported of it. Performs no I/O and reads no clock.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::prelude::*;
+use crate::process::forwarding::source::{Reach, Source};
+use crate::version::forwarding::ForwardCustomer;
+
+/// Tokens of one customer since the start of the process that counts them. Each total only grows, so that of two reports the one
+/// with the higher total is the newer one.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageTotals {
+    /// The tokens of granted requests.
+    pub granted: Tokens,
+    /// The granted tokens that were given back because the request did not run.
+    pub refunded: Tokens,
+    /// The tokens of all requests, refused ones included.
+    pub requested: Tokens,
+}
+
+impl UsageTotals {
+    /// Returns these totals with each field changed by the same field of `other`.
+    fn zip(self, other: Self, change: impl Fn(Tokens, Tokens) -> Tokens) -> Self {
+        Self {
+            granted: change(self.granted, other.granted),
+            refunded: change(self.refunded, other.refunded),
+            requested: change(self.requested, other.requested),
+        }
+    }
+
+    fn add(&mut self, other: Self) {
+        *self = self.zip(other, Tokens::saturating_add);
+    }
+
+    /// Returns these totals without a part of them; a field whose part is larger becomes 0.
+    fn without(self, part: Self) -> Self {
+        self.zip(part, Tokens::saturating_sub)
+    }
+}
+
+/// The host that a report of usage comes from.
+#[derive(Debug, Clone, Copy)]
+pub struct Reporter<'a> {
+    /// The host that reports.
+    pub host: &'a HostId,
+    /// The incarnation of its process; a restart begins to count from 0.
+    pub incarnation: Incarnation,
+    /// Whether it started after this host, so that even its first report must be charged in full.
+    pub started_later: bool,
+}
+
+/// Where the totals of a reporter begin, compared with what was charged for their source.
+#[derive(Debug)]
+struct ReporterBase {
+    host: HostId,
+    incarnation: Incarnation,
+    /// The reporter's totals that are not charged, because they were granted before this host started or were charged from another
+    /// reporter.
+    ignored: UsageTotals,
+    /// What had been charged for the source when the reporter first reported.
+    charged: UsageTotals,
+}
+
+/// What was charged for one source. Several relays may report the same source: the highest total counts, so that a relay that
+/// missed a report neither hides nor doubles what another one told.
+#[derive(Debug, Default)]
+struct SourceUsage {
+    charged: UsageTotals,
+    /// The tokens charged for the source since its last report, while it was silent.
+    assumed: f64,
+    reporters: SmallVec<[ReporterBase; 2]>,
+}
+
+/// The number of reporters that are remembered for one source.
+const MAX_REPORTERS: usize = 4;
+
+impl SourceUsage {
+    /// Returns what a report adds to what was charged before.
+    fn advance(&mut self, reporter: Reporter<'_>, totals: UsageTotals) -> UsageTotals {
+        let is_known = |base: &ReporterBase| {
+            base.host == *reporter.host && base.incarnation == reporter.incarnation
+        };
+        let base = match self.reporters.iter().position(is_known) {
+            Some(known) => &self.reporters[known],
+            None => self.add_reporter(reporter, totals),
+        };
+        let counted = totals
+            .without(base.ignored)
+            .zip(base.charged, Tokens::saturating_add);
+        let added = counted.without(self.charged);
+        self.charged.add(added);
+        added
+    }
+
+    fn add_reporter(&mut self, reporter: Reporter<'_>, totals: UsageTotals) -> &ReporterBase {
+        let is_first = self
+            .reporters
+            .iter()
+            .all(|base| base.host == *reporter.host);
+        self.reporters.retain(|base| base.host != *reporter.host);
+        if self.reporters.len() == MAX_REPORTERS {
+            self.reporters.remove(0);
+        }
+        // With another reporter of the same source, the totals were charged already.
+        let is_new = reporter.started_later && is_first;
+        self.reporters.push(ReporterBase {
+            host: reporter.host.clone(),
+            incarnation: reporter.incarnation,
+            ignored: if is_new {
+                UsageTotals::default()
+            } else {
+                totals
+            },
+            charged: self.charged,
+        });
+        &self.reporters[self.reporters.len() - 1]
+    }
+}
+
+/// The time over which a customer's demand is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_secs(2);
+
+/// One customer's token bucket.
+#[derive(Debug)]
+pub(super) struct Bucket {
+    /// Tokens per second.
+    pub(super) rate: f64,
+    pub(super) burst: f64,
+    /// The tokens available; negative while the bucket is overdrawn.
+    pub(super) level: f64,
+    /// The tokens of requests that wait for the bucket to refill.
+    pub(super) queued: f64,
+    refilled_at: Instant,
+    /// This host's own totals.
+    own: UsageTotals,
+    /// This host's own totals when it last reported them.
+    reported: UsageTotals,
+    /// The totals of this host's data centre and of the fleet, as far as this host knows.
+    data_centre: UsageTotals,
+    fleet: UsageTotals,
+    own_changed_at: Instant,
+    fleet_changed_at: Instant,
+    /// The tokens that all hosts were asked for, per second.
+    demand: f64,
+    demand_at: Instant,
+    sources: HashMap<Source, SourceUsage>,
+}
+
+impl Bucket {
+    pub(super) fn new(customer: &ForwardCustomer, initial_level: f64, now: Instant) -> Self {
+        let burst = customer.burst as f64;
+        Self {
+            rate: customer.rate as f64,
+            burst,
+            level: burst * initial_level,
+            queued: 0.0,
+            refilled_at: now,
+            own: UsageTotals::default(),
+            reported: UsageTotals::default(),
+            data_centre: UsageTotals::default(),
+            fleet: UsageTotals::default(),
+            own_changed_at: now,
+            fleet_changed_at: now,
+            demand: 0.0,
+            demand_at: now,
+            sources: HashMap::new(),
+        }
+    }
+
+    pub(super) fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        self.refilled_at = self.refilled_at.max(now);
+        self.level = (self.level + elapsed.as_secs_f64() * self.rate).min(self.burst);
+    }
+
+    /// Counts a request before it is granted or refused.
+    pub(super) fn request(&mut self, tokens: Tokens, now: Instant) {
+        let totals = UsageTotals {
+            requested: tokens,
+            ..UsageTotals::default()
+        };
+        self.add_own(totals, now);
+        self.add_demand(tokens, now);
+    }
+
+    pub(super) fn grant(&mut self, tokens: Tokens, now: Instant) {
+        let totals = UsageTotals {
+            granted: tokens,
+            ..UsageTotals::default()
+        };
+        self.add_own(totals, now);
+        self.debit(tokens as f64);
+    }
+
+    pub(super) fn refund(&mut self, tokens: Tokens, now: Instant) {
+        let totals = UsageTotals {
+            refunded: tokens,
+            ..UsageTotals::default()
+        };
+        self.add_own(totals, now);
+        self.debit(-(tokens as f64));
+    }
+
+    fn add_own(&mut self, totals: UsageTotals, now: Instant) {
+        self.own.add(totals);
+        self.data_centre.add(totals);
+        self.fleet.add(totals);
+        self.own_changed_at = now;
+        self.fleet_changed_at = now;
+    }
+
+    fn debit(&mut self, tokens: f64) {
+        self.level = (self.level - tokens).min(self.burst);
+    }
+
+    fn add_demand(&mut self, tokens: Tokens, now: Instant) {
+        self.demand = self.demand(now) + tokens as f64 / DEMAND_WINDOW.as_secs_f64();
+        self.demand_at = now;
+    }
+
+    /// Returns the tokens per second that all hosts were asked for within about the last two seconds.
+    pub(super) fn demand(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.demand_at);
+        self.demand * (-elapsed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp()
+    }
+
+    /// Charges what a source has granted since its last report, less what was assumed for it while it was silent.
+    pub(super) fn apply(
+        &mut self,
+        source: &Source,
+        reporter: Reporter<'_>,
+        totals: UsageTotals,
+        now: Instant,
+    ) {
+        let totals = match source {
+            // The sum of the fleet contains what this host has reported itself.
+            Source::Fleet => totals.without(self.reported),
+            Source::Host(_) | Source::DataCentre(_) => totals,
+        };
+        let usage = self.sources.entry(source.clone()).or_default();
+        let added = usage.advance(reporter, totals);
+        let assumed = std::mem::take(&mut usage.assumed);
+        if added == UsageTotals::default() && assumed == 0.0 {
+            return;
+        }
+        self.refill(now);
+        self.debit(added.granted as f64 - added.refunded as f64 - assumed);
+        self.add_demand(added.requested, now);
+        if matches!(source, Source::Host(_)) {
+            self.data_centre.add(added);
+        }
+        self.fleet.add(added);
+        self.fleet.refunded += whole(assumed);
+        self.fleet_changed_at = now;
+    }
+
+    /// Charges what a silent source is assumed to have granted.
+    pub(super) fn assume(&mut self, source: &Source, tokens: f64, now: Instant) {
+        self.refill(now);
+        self.debit(tokens);
+        self.sources.entry(source.clone()).or_default().assumed += tokens;
+        self.fleet.granted += whole(tokens);
+        self.fleet_changed_at = now;
+    }
+
+    pub(super) fn forget(&mut self, source: &Source) {
+        self.sources.remove(source);
+    }
+
+    /// Returns the totals within `reach` if they changed since `since`. Totals of this host alone count as reported from now on.
+    pub(super) fn totals_since(&mut self, reach: Reach, since: Instant) -> Option<UsageTotals> {
+        let (totals, changed_at) = match reach {
+            Reach::Host => (self.own, self.own_changed_at),
+            Reach::DataCentre => (self.data_centre, self.fleet_changed_at),
+            Reach::Fleet => (self.fleet, self.fleet_changed_at),
+        };
+        if reach == Reach::Host {
+            self.reported = self.own;
+        }
+        (changed_at >= since).then_some(totals)
+    }
+}
+
+/// Rounds a number of tokens, which is not negative.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(tokens: f64) -> Tokens {
+    tokens.round() as Tokens
+}
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -12,6 +12,7 @@
 use crate::process::forwarding::directory::{Instance, Stage};
 use crate::process::forwarding::load::{CallId, CallOutcome, Work};
 use crate::process::forwarding::selection::{Candidate, Purpose, Requirements};
+use crate::process::forwarding::source::Reach;
 use crate::process::message::CrashReport;
 use crate::request::forward::call::{AttemptHead, Call, CallPart};
 use crate::request::forward::flow::ForwardContext;
@@ -281,7 +282,7 @@
             upstream: self.instance.id.clone(),
         };
         let now = self.cx.clock.now();
-        self.cx.state.record_crash(&report, true, now);
+        self.cx.state.record_crash(&report, Reach::Host, now);
         self.cx.state.request_report();
     }
 
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -205,7 +205,7 @@
     let outcome = cx
         .state
         .usage
-        .charge(customer, tokens, max_wait, cx.clock.now());
+        .charge(customer, tokens, max_wait, rand::random(), cx.clock.now());
     let outcome = outcome.map_err(|wait| {
         let message = "rate of the customer used up; repeat after the time in Retry-After";
         Refusal::not_run(RefusalKind::RateLimited, message)
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -20,9 +20,13 @@
 use hibiscusspread::process::forwarding::selection::{
     Candidate, PredictedTimeSelection, Purpose, Requirements, Selection, SelectionSettings,
 };
+use hibiscusspread::process::forwarding::source::{Reach, Source};
 use hibiscusspread::process::forwarding::stage_plan::{StagePlanSettings, plan_stage_changes};
 use hibiscusspread::process::forwarding::wait_queue::{WaitQueue, Waiter};
 
+/// The revision of the store of lists of upstreams whose revision does not matter.
+const REVISION: Revision = 1;
+
 fn instance(id: &str, stage: Stage, data_centre: &str) -> Instance {
     Instance {
         id: id.into(),
@@ -63,12 +67,12 @@
         instance("a", Stage::Whole, "x"),
         instance("b", Stage::Whole, "x"),
     );
-    directory.apply(vec![a.clone(), b.clone()], now);
+    directory.apply(vec![a.clone(), b.clone()], REVISION, now);
     let draining = Instance {
         draining: true,
         ..a
     };
-    let change = directory.apply(vec![draining], now + millis(800));
+    let change = directory.apply(vec![draining], REVISION, now + millis(800));
     assert_eq!(change.left.len(), 2);
     assert!(ids(&directory).is_empty());
 }
@@ -80,21 +84,21 @@
     let now = Instant::now();
     let (mut finder, mut other) = (Directory::default(), Directory::default());
     for directory in [&mut finder, &mut other] {
-        directory.apply(vec![instance("a", Stage::Decode, "x")], now);
+        directory.apply(vec![instance("a", Stage::Decode, "x")], REVISION, now);
     }
     finder.remove(&"a".into(), 2, now);
-    assert!(finder.recently_left().is_empty());
+    assert!(finder.recently_left(Reach::Host, now).is_empty());
     finder.remove(&"a".into(), 1, now);
-    assert_eq!(finder.recently_left(), [("a".into(), 1)]);
-    for (id, born) in finder.recently_left() {
-        assert!(other.mark_left(&id, born));
+    assert_eq!(finder.recently_left(Reach::Host, now), [("a".into(), 1)]);
+    for (id, born) in finder.recently_left(Reach::Host, now) {
+        assert!(other.mark_left(&id, born, Reach::Fleet, now));
     }
     assert!(ids(&finder).is_empty() && ids(&other).is_empty());
     let restarted = Instance {
         born: 2,
         ..instance("a", Stage::Decode, "x")
     };
-    other.apply(vec![restarted], now + millis(800));
+    other.apply(vec![restarted], REVISION, now + millis(800));
     assert_eq!(ids(&other).len(), 1);
 }
 
@@ -103,13 +107,13 @@
 fn missing_upstreams_are_kept_shortly_after_an_outage() {
     let now = Instant::now();
     let mut directory = Directory::new(DirectorySettings::default());
-    directory.apply(vec![instance("a", Stage::Whole, "x")], now);
+    directory.apply(vec![instance("a", Stage::Whole, "x")], REVISION, now);
     directory.record_read_failure();
-    let change = directory.apply(Vec::new(), now + millis(5000));
+    let change = directory.apply(Vec::new(), REVISION, now + millis(5000));
     assert_eq!((change.kept, ids(&directory).len()), (1, 1));
-    directory.apply(Vec::new(), now + millis(6000));
+    directory.apply(Vec::new(), REVISION, now + millis(6000));
     assert_eq!(ids(&directory).len(), 1);
-    directory.apply(Vec::new(), now + millis(7300));
+    directory.apply(Vec::new(), REVISION, now + millis(7300));
     assert!(ids(&directory).is_empty());
 }
 
@@ -129,8 +133,8 @@
     let restarted = Instance { born: 2, ..old };
     assert!(!loads.view(&restarted, now).is_blocked);
     let mut directory = Directory::default();
-    directory.apply(vec![instance("a", Stage::Whole, "x")], now);
-    let change = directory.apply(vec![restarted], now);
+    directory.apply(vec![instance("a", Stage::Whole, "x")], REVISION, now);
+    let change = directory.apply(vec![restarted], REVISION, now);
     assert_eq!(change.started.len(), 1);
 }
 
@@ -174,18 +178,22 @@
     };
     finder.start_call(&crashed, work);
     finder.end_call(&crashed, 1, work, CallOutcome::Unreachable, now);
-    let reports = finder.unhealthy_reports(now);
+    let reports = finder.unhealthy_reports(Reach::Host, now);
     assert_eq!(reports.len(), 1);
     // A host that the upstream has just answered ignores the report.
     other.record_answer(&crashed, 1, now);
-    other.apply_unhealthy_report(&reports[0], now + millis(100));
+    other.apply_unhealthy_report(&reports[0], Reach::Fleet, now + millis(100));
     assert!(!other.view(&crashed, now + millis(100)).is_blocked);
-    other.apply_unhealthy_report(&reports[0], now + millis(400));
+    other.apply_unhealthy_report(&reports[0], Reach::Fleet, now + millis(400));
     assert!(other.view(&crashed, now + millis(400)).is_blocked);
     assert!(!other.view(&crashed, now + millis(1000)).is_blocked);
     let restarted = Instance { born: 2, ..crashed };
     assert!(!other.view(&restarted, now + millis(400)).is_blocked);
-    assert!(finder.unhealthy_reports(now + millis(700)).is_empty());
+    assert!(
+        finder
+            .unhealthy_reports(Reach::Host, now + millis(700))
+            .is_empty()
+    );
 }
 
 /// Guards against trying each upstream of an unreachable data centre, and against never trying the data centre again.
@@ -219,15 +227,22 @@
 fn upstream_reported_as_left_gets_no_work() {
     let now = Instant::now();
     let mut directory = Directory::default();
-    directory.apply(vec![instance("a", Stage::Whole, "x")], now);
-    assert!(!directory.mark_left(&"a".into(), 7));
-    assert!(directory.mark_left(&"a".into(), 1));
+    directory.apply(vec![instance("a", Stage::Whole, "x")], REVISION, now);
+    assert!(!directory.mark_left(&"a".into(), 7, Reach::Fleet, now));
+    assert!(directory.mark_left(&"a".into(), 1, Reach::Fleet, now));
     assert!(ids(&directory).is_empty());
     // The next list that this host reads overrides the report.
-    directory.apply(vec![instance("a", Stage::Whole, "x")], now + millis(800));
+    directory.apply(
+        vec![instance("a", Stage::Whole, "x")],
+        REVISION,
+        now + millis(800),
+    );
     assert_eq!(ids(&directory).len(), 1);
-    directory.apply(Vec::new(), now + millis(1600));
-    assert_eq!(directory.recently_left(), vec![("a".into(), 1)]);
+    directory.apply(Vec::new(), REVISION, now + millis(1600));
+    assert_eq!(
+        directory.recently_left(Reach::Fleet, now),
+        vec![("a".into(), 1)]
+    );
 }
 
 /// Guards against adding up successive reports of another host, and against counting a report after that host has fallen silent.
@@ -243,12 +258,12 @@
         prompts: 0,
     };
     for _ in 0..3 {
-        loads.apply_report(&"b".into(), &[("a".into(), work)], now);
+        loads.apply_report(&Source::Host("b".into()), &[("a".into(), work)], now);
     }
     assert_eq!(loads.view(&a, now).others, work);
-    loads.apply_report(&"b".into(), &[], now);
+    loads.apply_report(&Source::Host("b".into()), &[], now);
     assert_eq!(loads.view(&a, now).others, Work::default());
-    loads.apply_report(&"b".into(), &[("a".into(), work)], now);
+    loads.apply_report(&Source::Host("b".into()), &[("a".into(), work)], now);
     assert_eq!(loads.view(&a, now + millis(2000)).others, Work::default());
 }
 
@@ -439,21 +454,34 @@
     assert!(plan_stage_changes(&settings, &engines[5..9], |_| false).is_empty());
 }
 
-fn report(host: &str, incarnation: Incarnation, number: u64) -> HostReport {
-    HostReport {
+/// A host of data centre `x`.
+pub fn registration(host: &str, incarnation: Incarnation) -> Registration {
+    Registration {
         host: host.into(),
         address: "127.0.0.1:9".parse().expect("address"),
         incarnation,
+        data_centre: "x".into(),
+        capacity: 120,
+    }
+}
+
+/// A report of a host of data centre `x` that tells nothing.
+pub fn report(host: &str, incarnation: Incarnation, number: u64) -> HostReport {
+    HostReport {
+        sender: registration(host, incarnation),
+        reach: Reach::Host,
         number,
         uptime: millis(1),
+        hosts: 2,
         version: 1,
         leaving: false,
-        granted: Vec::new(),
+        usage: Vec::new(),
         work: Vec::new(),
         unwell: Vec::new(),
         left: Vec::new(),
         has_on_time: false,
         crashes: Vec::new(),
+        list: None,
     }
 }
 
@@ -476,13 +504,16 @@
         ReportFreshness::Newest
     );
     assert_eq!(peers.host_count(), 2);
-    assert!(peers.take_uncharged_silence(now + millis(500)).is_empty());
-    let silent = peers.take_uncharged_silence(now + millis(2000));
-    assert_eq!(silent[0].2, millis(2000));
-    assert_eq!(
-        peers.take_uncharged_silence(now + millis(2500))[0].2,
-        millis(500)
+    let own = registration("a", 1);
+    assert!(
+        peers
+            .take_uncharged_silence(&own, now + millis(500))
+            .is_empty()
     );
+    let silent = peers.take_uncharged_silence(&own, now + millis(2000));
+    assert_eq!(silent[0].uncharged, millis(2000));
+    let silent = peers.take_uncharged_silence(&own, now + millis(2500));
+    assert_eq!(silent[0].uncharged, millis(500));
     let leaving = HostReport {
         leaving: true,
         ..report("b", 2, u64::MAX)
@@ -496,12 +527,11 @@
 fn registration_adds_and_removes_hosts() {
     let now = Instant::now();
     let mut peers = PeerTable::default();
-    let registration = Registration {
-        host: "b".into(),
-        address: "127.0.0.1:9".parse().expect("address"),
-        incarnation: 1,
-    };
-    assert!(peers.apply_registrations(&[registration], now).is_empty());
+    assert!(
+        peers
+            .apply_registrations(&[registration("b", 1)], now)
+            .is_empty()
+    );
     assert_eq!(peers.host_count(), 2);
     peers.record_report(&report("c", 1, 1), now + millis(2000));
     let gone = peers.apply_registrations(&[], now + millis(2000));
--- a/tests/suite/forward_reservations.rs
+++ b/tests/suite/forward_reservations.rs
@@ -8,6 +8,7 @@
 use hibiscusspread::platform::PlatformStateCodec;
 use hibiscusspread::platform::requests::PlatformCallCodec;
 use hibiscusspread::process::forwarding::load::{CallOutcome, LoadSettings, LoadTracker, Work};
+use hibiscusspread::process::forwarding::source::Reach;
 use hibiscusspread::process::forwarding::state_codec::StateCodec;
 use hibiscusspread::request::forward::call::ReservationRequest;
 use hibiscusspread::request::forward::codec::CallCodec;
@@ -168,5 +169,5 @@
             .view(&engine, now + Duration::from_millis(250))
             .is_blocked
     );
-    assert!(loads.unhealthy_reports(now).is_empty());
+    assert!(loads.unhealthy_reports(Reach::Host, now).is_empty());
 }
--- a/tests/suite/forward_store_watchers.rs
+++ b/tests/suite/forward_store_watchers.rs
@@ -90,6 +90,8 @@
         host: host.into(),
         address: ([127, 0, 0, 1], port).into(),
         incarnation: port.into(),
+        data_centre: "x".into(),
+        capacity: 120,
     }
 }
 
--- a/tests/suite/forward_usage.rs
+++ b/tests/suite/forward_usage.rs
@@ -5,8 +5,9 @@
 use proptest::prelude::*;
 
 use hibiscusspread::prelude::*;
+use hibiscusspread::process::forwarding::source::{Reach, Source};
 use hibiscusspread::process::forwarding::usage::{
-    ChargeOutcome, Reporter, UsageSettings, UsageTracker,
+    ChargeOutcome, Reporter, UsageSettings, UsageTotals, UsageTracker,
 };
 use hibiscusspread::version::forwarding::ForwardCustomer;
 
@@ -17,6 +18,16 @@
 /// The largest request of the tests, in tokens; it does not count as small.
 const LARGE: u64 = 5_000;
 
+/// The draw of requests whose grant is not a matter of chance.
+const DRAW: f64 = 0.0;
+
+fn granted(tokens: Tokens) -> UsageTotals {
+    UsageTotals {
+        granted: tokens,
+        ..UsageTotals::default()
+    }
+}
+
 fn customer() -> ForwardCustomer {
     ForwardCustomer {
         id: "coast".into(),
@@ -45,18 +56,24 @@
     let (tracker, now) = (tracker(1.0), Instant::now());
     let mut granted = 0;
     while tracker
-        .charge(&customer(), LARGE, Duration::ZERO, now)
+        .charge(&customer(), LARGE, Duration::ZERO, DRAW, now)
         .is_ok()
     {
         granted += LARGE;
     }
     assert!(granted <= BURST, "{granted}");
     let wait = tracker
-        .charge(&customer(), LARGE, Duration::ZERO, now)
+        .charge(&customer(), LARGE, Duration::ZERO, DRAW, now)
         .expect_err("used up");
     assert!(
         tracker
-            .charge(&customer(), LARGE, Duration::ZERO, now + wait + millis(1))
+            .charge(
+                &customer(),
+                LARGE,
+                Duration::ZERO,
+                DRAW,
+                now + wait + millis(1)
+            )
             .is_ok()
     );
 }
@@ -65,10 +82,13 @@
 #[test]
 fn small_requests_pass_while_large_ones_wait() {
     let (tracker, now) = (tracker(1.0), Instant::now());
-    while tracker.charge(&customer(), LARGE, millis(400), now).is_ok() {}
+    while tracker
+        .charge(&customer(), LARGE, millis(400), DRAW, now)
+        .is_ok()
+    {}
     for _ in 0..10 {
         assert_eq!(
-            tracker.charge(&customer(), 200, Duration::ZERO, now),
+            tracker.charge(&customer(), 200, Duration::ZERO, DRAW, now),
             Ok(ChargeOutcome::Granted)
         );
     }
@@ -80,7 +100,7 @@
     let (tracker, now) = (tracker(1.0), Instant::now());
     let mut granted = 0;
     while tracker
-        .charge(&customer(), 200, Duration::ZERO, now)
+        .charge(&customer(), 200, Duration::ZERO, DRAW, now)
         .is_ok()
     {
         granted += 200;
@@ -93,18 +113,18 @@
 #[test]
 fn queued_requests_wait_for_each_other_and_can_be_cancelled() {
     let (tracker, now) = (tracker(0.0), Instant::now());
-    let first = tracker.charge(&customer(), LARGE, millis(2000), now);
+    let first = tracker.charge(&customer(), LARGE, millis(2000), DRAW, now);
     let Ok(ChargeOutcome::Queued(first)) = first else {
         panic!("{first:?}");
     };
-    let second = tracker.charge(&customer(), LARGE, millis(2000), now);
+    let second = tracker.charge(&customer(), LARGE, millis(2000), DRAW, now);
     let Ok(ChargeOutcome::Queued(second)) = second else {
         panic!("{second:?}");
     };
     assert!(second >= first + millis(450), "{first:?} {second:?}");
     tracker.cancel_queued(&customer().id, LARGE);
     tracker.cancel_queued(&customer().id, LARGE);
-    let third = tracker.charge(&customer(), LARGE, millis(2000), now);
+    let third = tracker.charge(&customer(), LARGE, millis(2000), DRAW, now);
     assert_eq!(third, Ok(ChargeOutcome::Queued(first)));
 }
 
@@ -114,23 +134,24 @@
     let (tracker, now) = (tracker(1.0), Instant::now());
     tracker.add_customers([&customer()], now);
     let host: HostId = "b".into();
+    let source = Source::Host(host.clone());
     let reporter = Reporter {
         host: &host,
         incarnation: 1,
         started_later: true,
     };
-    tracker.apply_granted(reporter, &customer().id, 16_000, now);
+    tracker.apply_totals(&source, reporter, &customer().id, granted(16_000), now);
     assert!(
         tracker
-            .charge(&customer(), LARGE, Duration::ZERO, now)
+            .charge(&customer(), LARGE, Duration::ZERO, DRAW, now)
             .is_err()
     );
     // Reports are repeated in case some are lost.
-    tracker.apply_granted(reporter, &customer().id, 16_000, now);
+    tracker.apply_totals(&source, reporter, &customer().id, granted(16_000), now);
     let later = now + millis(300);
     assert!(
         tracker
-            .charge(&customer(), LARGE, Duration::ZERO, later)
+            .charge(&customer(), LARGE, Duration::ZERO, DRAW, later)
             .is_ok()
     );
 }
@@ -141,23 +162,24 @@
     let (tracker, now) = (tracker(1.0), Instant::now());
     tracker.add_customers([&customer()], now);
     let host: HostId = "b".into();
+    let source = Source::Host(host.clone());
     let mut reporter = Reporter {
         host: &host,
         incarnation: 1,
         started_later: false,
     };
-    tracker.apply_granted(reporter, &customer().id, 1_000_000, now);
+    tracker.apply_totals(&source, reporter, &customer().id, granted(1_000_000), now);
     assert!(
         tracker
-            .charge(&customer(), LARGE, Duration::ZERO, now)
+            .charge(&customer(), LARGE, Duration::ZERO, DRAW, now)
             .is_ok()
     );
     reporter.incarnation = 2;
     reporter.started_later = true;
-    tracker.apply_granted(reporter, &customer().id, 15_000, now);
+    tracker.apply_totals(&source, reporter, &customer().id, granted(15_000), now);
     assert!(
         tracker
-            .charge(&customer(), LARGE, Duration::ZERO, now)
+            .charge(&customer(), LARGE, Duration::ZERO, DRAW, now)
             .is_err()
     );
 }
@@ -168,22 +190,24 @@
     let (tracker, now) = (tracker(1.0), Instant::now());
     tracker.add_customers([&customer()], now);
     let host: HostId = "b".into();
+    let source = Source::Host(host.clone());
     let reporter = Reporter {
         host: &host,
         incarnation: 1,
         started_later: true,
     };
-    tracker.apply_granted(reporter, &customer().id, 0, now);
+    tracker.apply_totals(&source, reporter, &customer().id, granted(0), now);
     for step in 1..=40 {
-        tracker.charge_silent_hosts(
-            &[(host.clone(), 1)],
-            2,
-            millis(100),
-            now + millis(100 * step),
-        );
+        tracker.charge_silence(&source, 1, 2, millis(100), now + millis(100 * step));
     }
     // Half of the rate is assumed for 4 s, while the bucket refills at the whole rate.
-    tracker.apply_granted(reporter, &customer().id, 0, now + millis(4000));
+    tracker.apply_totals(
+        &source,
+        reporter,
+        &customer().id,
+        granted(0),
+        now + millis(4000),
+    );
     let levels = tracker.levels();
     assert!(levels[0].1 <= BURST as f64, "{levels:?}");
     assert!(levels[0].1 >= BURST as f64 * 0.99, "{levels:?}");
@@ -211,10 +235,11 @@
         for (host, gap, tokens) in requests {
             at += millis(gap);
             for (i, tracker) in trackers.iter().enumerate() {
-                let silent: Vec<_> = hosts.iter().enumerate().filter(|(j, _)| *j != i).map(|(_, h)| (h.clone(), 1)).collect();
-                tracker.charge_silent_hosts(&silent, 3, millis(gap), at);
+                for (_, host) in hosts.iter().enumerate().filter(|(j, _)| *j != i) {
+                    tracker.charge_silence(&Source::Host(host.clone()), 1, 3, millis(gap), at);
+                }
             }
-            if trackers[host].charge(&customer(), tokens, Duration::ZERO, at).is_ok() {
+            if trackers[host].charge(&customer(), tokens, Duration::ZERO, DRAW, at).is_ok() {
                 granted += tokens;
             }
         }
@@ -234,15 +259,15 @@
         let (mut at, mut granted) = (now, 0);
         for (host, gap, tokens) in requests {
             at += millis(gap);
-            if trackers[host].charge(&customer(), tokens, Duration::ZERO, at).is_ok() {
+            if trackers[host].charge(&customer(), tokens, Duration::ZERO, DRAW, at).is_ok() {
                 granted += tokens;
             }
-            let reports: Vec<_> = trackers.iter().map(|tracker| tracker.granted_since(now)).collect();
+            let reports: Vec<_> = trackers.iter().map(|tracker| tracker.totals_since(Reach::Host, now)).collect();
             for (i, tracker) in trackers.iter().enumerate() {
                 for (j, report) in reports.iter().enumerate().filter(|(j, _)| *j != i) {
                     let reporter = Reporter { host: &hosts[j], incarnation: 1, started_later: true };
-                    for (customer, granted) in report {
-                        tracker.apply_granted(reporter, customer, *granted, at);
+                    for (customer, totals) in report {
+                        tracker.apply_totals(&Source::Host(hosts[j].clone()), reporter, customer, *totals, at);
                     }
                 }
             }
