Bound what hosts of a large fleet grant before they hear each other

Each host could grant a quarter of a burst after its start, so the sum grew with the fleet, and a host cut off from the others spent the tokens that all of them saw. A bucket now starts with a share of half the tolerated overrun, which deploy/settings.ini states, divided by the number of hosts. With relays a request is granted by chance once the bucket holds less than the fleet may be asked for while a report is under way, so that the expected grants match the rate; hosts that don't hear each other count only their part of the tokens.

--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -92,11 +92,7 @@
         metrics::recorder();
         let clock = platform.clock;
         let mut forwarding = forwarding;
-        if forwarding.first_start {
-            // No other host has granted anything yet, so a full burst is available.
-            forwarding.usage.initial_level = 1.0;
-            forwarding.usage.initial_fleet_level = f64::INFINITY;
-        }
+        forwarding.usage.starts_full = forwarding.first_start;
         let state = Arc::new(FleetState::new(&forwarding));
         let reports = ReportSocket::bind(settings.peer.address).await?;
         let registration = Registration {
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -30,6 +30,8 @@
     pub uptime: Duration,
     /// The number of hosts that the sender knows, itself included.
     pub hosts: usize,
+    /// The number of these hosts that the sender hears nothing of, directly or through relays.
+    pub silent_hosts: usize,
     /// The newest configuration version that is in force at any of the hosts.
     pub version: Version,
     /// Whether the host is shutting down; this is its last report.
@@ -136,8 +138,8 @@
     aggregates: HashMap<Source, Aggregate>,
     planner: RelayPlanner,
     role: Role,
-    /// The number of hosts that a relay of this host's data centre reported last, and when.
-    reported_hosts: Option<(usize, Instant)>,
+    /// The numbers of all and of silent hosts that a relay of this host's data centre reported last, and when.
+    reported_hosts: Option<(usize, usize, Instant)>,
 }
 
 impl PeerTable {
@@ -163,7 +165,7 @@
         }
         let registered = known.is_some_and(|peer| peer.registered);
         if report.reach == Reach::Fleet {
-            self.reported_hosts = Some((report.hosts, now));
+            self.reported_hosts = Some((report.hosts, report.silent_hosts, now));
         }
         self.peers.insert(
             sender.host.clone(),
@@ -305,7 +307,7 @@
         let hosts: Vec<_> = self.peers.iter().map(ranked).collect();
         self.reported_hosts = self
             .reported_hosts
-            .filter(|(_, at)| now.saturating_duration_since(*at) < UNREGISTERED_TTL);
+            .filter(|(_, _, at)| now.saturating_duration_since(*at) < UNREGISTERED_TTL);
         let fleet_size = self.host_count();
         let plan = self
             .planner
@@ -326,6 +328,24 @@
         last_heard.is_some_and(|at| now.saturating_duration_since(at) < SILENCE_TIMEOUT)
     }
 
+    /// Returns how many hosts this one hears nothing of, directly or through relays.
+    pub fn silent_hosts(&self, own: &Registration, now: Instant) -> usize {
+        let others = self.host_count() - 1;
+        if self.role == Role::Member {
+            let reported = self.reported_hosts.filter(|_| self.hears_relays(now));
+            return reported.map_or(others, |(_, silent, _)| silent.min(others));
+        }
+        let is_silent = |peer: &&Peer| {
+            if self.role == Role::Direct || peer.data_centre == own.data_centre {
+                return peer.number == 0 || !peer.is_live(now);
+            }
+            let source = Source::DataCentre(peer.data_centre.clone());
+            let last_heard = self.aggregates.get(&source).and_then(|a| a.last_heard);
+            last_heard.is_none_or(|at| now.saturating_duration_since(at) >= SILENCE_TIMEOUT)
+        };
+        self.peers.values().filter(is_silent).count()
+    }
+
     /// Returns whether the sources that this host listens to were heard, so that it knows what others have granted.
     pub fn is_informed(&self) -> bool {
         match self.role {
@@ -376,7 +396,7 @@
     /// Returns the number of known hosts, including this one, silent ones, and those that only a relay knows.
     pub fn host_count(&self) -> usize {
         let reported = self.reported_hosts.filter(|_| self.role != Role::Relay);
-        let reported = reported.map_or(0, |(hosts, _)| hosts);
+        let reported = reported.map_or(0, |(hosts, _, _)| hosts);
         self.known_hosts().max(reported)
     }
 
--- a/src/process/forwarding/report_exchange.rs
+++ b/src/process/forwarding/report_exchange.rs
@@ -86,13 +86,18 @@
         loop {
             let interval = self.settings.interval;
             let _ = tokio::time::timeout(interval, self.state.report_requested()).await;
-            self.plan(self.clock.now());
+            self.plan_now();
             tokio::time::sleep(self.batching_delay()).await;
-            self.send(&mut number, false).await;
-            self.charge_silence(self.clock.now());
+            self.run_round(&mut number).await;
         }
     }
 
+    /// Sends this host's reports once and charges the silence of other hosts. `number` is that of the last report.
+    pub async fn run_round(&self, number: &mut u64) {
+        self.send(number, false).await;
+        self.charge_silence(self.clock.now());
+    }
+
     /// Tells the other hosts that this one shuts down.
     pub async fn announce_leaving(&self) {
         // No later report follows, and each of the last ones must count as the newest.
@@ -127,6 +132,11 @@
         }
     }
 
+    /// Records what this host knows of the fleet, before it sends its first report.
+    pub fn plan_now(&self) {
+        self.plan(self.clock.now());
+    }
+
     /// Plans to whom this host reports, and records what it knows of the fleet.
     fn plan(&self, now: Instant) -> ExchangePlan {
         let mut peers = self.state.peers();
@@ -134,6 +144,7 @@
         let plan = peers.plan(&self.own, self.settings.max_direct_hosts, now);
         let hosts = peers.host_count();
         let is_informed = peers.is_informed();
+        let silent_hosts = peers.silent_hosts(&self.own, now);
         drop(peers);
         if plan.role != before {
             log::info!(target: "peers", "reports: {:?} instead of {before:?}, {hosts} hosts", plan.role);
@@ -141,6 +152,7 @@
         self.state.usage.set_knowledge(FleetKnowledge {
             hosts,
             relay_delay: (plan.role != Role::Direct).then(|| self.settings.longest_relay_delay()),
+            heard_part: 1.0 - silent_hosts as f64 / hosts as f64,
             is_informed,
         });
         plan
@@ -160,10 +172,11 @@
         if reach == Reach::Host {
             *lock(&self.reported_work) = work.iter().cloned().collect();
         }
-        let (hosts, others_on_time) = {
+        let (hosts, silent_hosts, others_on_time) = {
             let peers = state.peers();
+            let silent_hosts = peers.silent_hosts(&self.own, now);
             let others_on_time = peers.has_on_time_waiter_within(reach, now);
-            (peers.known_hosts(), others_on_time)
+            (peers.known_hosts(), silent_hosts, others_on_time)
         };
         let version = state.config.current().version;
         HostReport {
@@ -172,6 +185,7 @@
             number,
             uptime: now.saturating_duration_since(self.started),
             hosts,
+            silent_hosts,
             version: if reach == Reach::Host {
                 version
             } else {
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -118,6 +118,12 @@
             grace: fields.duration("grace", defaults.grace),
             first_start: fields.value("first_start", "true or false", defaults.first_start),
             order_quiet: fields.duration("order_quiet", defaults.order_quiet),
+            usage: UsageSettings {
+                window: fields.duration("limit_window", defaults.usage.window),
+                overrun: fields.value("limit_overrun", "a fraction", defaults.usage.overrun),
+                slack: fields.value("limit_slack", "a number of tokens", defaults.usage.slack),
+                ..defaults.usage.clone()
+            },
             capacity: read_capacity(fields, defaults.capacity),
             exchange: ExchangeSettings {
                 max_direct_hosts: fields.value(
--- a/src/process/forwarding/usage.rs
+++ b/src/process/forwarding/usage.rs
@@ -22,14 +22,22 @@
 use crate::process::shard::{Shards, lock};
 use crate::version::forwarding::ForwardCustomer;
 
-/// How much of a burst a new host and small requests may use.
+/// The tolerated overrun of limits, and how much of a burst a new host and small requests may use.
 #[derive(Debug, Clone, PartialEq)]
 pub struct UsageSettings {
+    /// The time over which limits are checked: no more may be granted in it than its part of the rate, one burst and the overrun.
+    pub window: Duration,
+    /// The tolerated overrun in a window, as a fraction of what the limit allows in it.
+    pub overrun: f64,
+    /// The tolerated overrun in a window in tokens, on top of that fraction.
+    pub slack: Tokens,
+    /// The fraction of the tolerated overrun that all hosts together may grant right after they all have started at the same time.
+    /// They have forgotten what they granted before, and don't know of each other's grants yet.
+    pub initial_overrun: f64,
     /// The fraction of a burst that a host may grant right after its start, at most.
     pub initial_level: f64,
-    /// The fraction of a burst that all hosts together may grant if all of them start at the same time and don't know of each
-    /// other's grants yet.
-    pub initial_fleet_level: f64,
+    /// Whether the fleet starts for the first time, so that no host has granted anything and buckets start full.
+    pub starts_full: bool,
     /// The fraction of a burst up to which a request counts as small, and which is kept for small requests, so that they don't wait
     /// behind large ones. A large request costs as much as some dozens of small ones.
     pub small_request_fraction: f64,
@@ -41,8 +49,12 @@
 impl Default for UsageSettings {
     fn default() -> Self {
         Self {
+            window: Duration::from_secs(8),
+            overrun: 0.1,
+            slack: 100_000,
+            initial_overrun: 0.5,
             initial_level: 0.25,
-            initial_fleet_level: 2.25,
+            starts_full: false,
             small_request_fraction: 0.02,
             small_request_overdraft: 0.25,
         }
@@ -61,12 +73,15 @@
 const MIN_CHANCE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// What a host knows of the fleet when it grants a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetKnowledge {
     /// The number of all hosts, this one included.
     pub hosts: usize,
     /// The time that reports take through relays; `None` if hosts report to each other directly, within milliseconds.
     pub relay_delay: Option<Duration>,
+    /// The part of all hosts whose grants are reported to this one, its own included. With relays, hosts that don't hear each other
+    /// share the tokens of a bucket as they stood when they last did.
+    pub heard_part: f64,
     /// Whether other hosts' grants were reported since the start of this host.
     pub is_informed: bool,
 }
@@ -76,6 +91,7 @@
         Self {
             hosts: 1,
             relay_delay: None,
+            heard_part: 1.0,
             is_informed: true,
         }
     }
@@ -116,11 +132,17 @@
         *lock(&self.knowledge)
     }
 
-    /// Returns the fraction of a burst with which a bucket starts. Hosts that start at the same time don't know of each other's
-    /// grants yet, so their fractions add up.
-    fn initial_level(&self, hosts: usize) -> f64 {
-        let share = self.settings.initial_fleet_level / hosts.max(1) as f64;
-        self.settings.initial_level.min(share)
+    /// Returns the tokens with which a customer's bucket starts at one of `hosts` hosts.
+    fn initial_level(&self, customer: &ForwardCustomer, hosts: usize) -> f64 {
+        let settings = &self.settings;
+        let burst = customer.burst as f64;
+        if settings.starts_full {
+            return burst;
+        }
+        let in_window = customer.rate as f64 * settings.window.as_secs_f64() + burst;
+        let overrun = in_window * settings.overrun + settings.slack as f64;
+        let share = overrun * settings.initial_overrun / hosts.max(1) as f64;
+        share.min(burst * settings.initial_level)
     }
 
     /// Creates buckets for customers that have none, so that other hosts' grants to them count from now on.
@@ -129,12 +151,12 @@
         customers: impl IntoIterator<Item = &'a ForwardCustomer>,
         now: Instant,
     ) {
-        let initial_level = self.initial_level(self.knowledge().hosts);
+        let hosts = self.knowledge().hosts;
         for customer in customers {
             let mut buckets = self.buckets.lock(&customer.id);
             buckets
                 .entry(customer.id.clone())
-                .or_insert_with(|| Bucket::new(customer, initial_level, now));
+                .or_insert_with(|| Bucket::new(customer, self.initial_level(customer, hosts), now));
         }
     }
 
@@ -156,33 +178,38 @@
         }
         let knowledge = self.knowledge();
         let mut buckets = self.buckets.lock(&customer.id);
-        let bucket = buckets
-            .entry(customer.id.clone())
-            .or_insert_with(|| Bucket::new(customer, self.initial_level(knowledge.hosts), now));
+        let bucket = buckets.entry(customer.id.clone()).or_insert_with(|| {
+            Bucket::new(customer, self.initial_level(customer, knowledge.hosts), now)
+        });
         bucket.rate = customer.rate as f64;
         bucket.burst = customer.burst as f64;
         bucket.refill(now);
         bucket.request(tokens, now);
         let small_request_limit = bucket.burst * self.settings.small_request_fraction;
         let wanted = tokens as f64;
+        let overdraft = if wanted <= small_request_limit {
+            bucket.burst * self.settings.small_request_overdraft
+        } else {
+            0.0
+        };
         let required_level = if wanted <= small_request_limit {
-            wanted - bucket.burst * self.settings.small_request_overdraft
+            wanted - overdraft
         } else {
             // A request larger than the burst is granted by a full bucket; otherwise it could never run.
             (wanted + bucket.queued + small_request_limit).min(bucket.burst + bucket.queued)
         };
         let wait = ((required_level - bucket.level) / bucket.rate).max(0.0);
         let wait = Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX);
-        if let Some(delay) = knowledge.relay_delay {
-            if !knowledge.is_informed && !wait.is_zero() {
-                return Err(wait.min(UNHEARD_RETRY_AFTER));
+        if knowledge.relay_delay.is_some() {
+            if draw < grant_probability(bucket, wanted, overdraft, knowledge, now) {
+                bucket.grant(tokens, now);
+                return Ok(ChargeOutcome::Granted);
             }
-            if wanted > small_request_limit && draw >= grant_probability(bucket, wanted, delay, now)
-            {
-                return Err(wait.max(MIN_CHANCE_RETRY_AFTER));
-            }
-            bucket.grant(tokens, now);
-            return Ok(ChargeOutcome::Granted);
+            return Err(if knowledge.is_informed {
+                wait.max(MIN_CHANCE_RETRY_AFTER)
+            } else {
+                UNHEARD_RETRY_AFTER
+            });
         }
         if wait.is_zero() {
             bucket.grant(tokens, now);
@@ -291,14 +318,24 @@
     }
 }
 
-/// Returns the probability with which a host of a large fleet grants a request of `wanted` tokens, where other hosts learn of the
-/// grant after `delay`.
-fn grant_probability(bucket: &Bucket, wanted: f64, delay: Duration, now: Instant) -> f64 {
+/// Returns the probability with which a host of a large fleet grants a request of `wanted` tokens, which may overdraw the bucket by
+/// `overdraft`.
+fn grant_probability(
+    bucket: &Bucket,
+    wanted: f64,
+    overdraft: f64,
+    knowledge: FleetKnowledge,
+    now: Instant,
+) -> f64 {
+    let part = knowledge.heard_part;
+    let level = bucket.level + overdraft;
+    let (available, rate) = (level * part, bucket.rate * part);
     let demand = bucket.demand(now);
-    let unreported = (demand - bucket.rate).max(0.0) * delay.as_secs_f64();
-    if bucket.level >= (wanted + unreported).min(bucket.burst) {
+    let delay = knowledge.relay_delay.unwrap_or_default();
+    let unreported = (demand - rate).max(0.0) * delay.as_secs_f64();
+    if available >= (wanted + unreported).min(bucket.burst) {
         return 1.0;
     }
-    let affordable = bucket.rate + bucket.level / LEVEL_RETURN_TIME.as_secs_f64();
+    let affordable = rate + available / LEVEL_RETURN_TIME.as_secs_f64();
     (affordable / demand.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
 }
--- a/src/process/forwarding/usage/bucket.rs
+++ b/src/process/forwarding/usage/bucket.rs
@@ -124,6 +124,9 @@
 /// The time over which a customer's demand is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_secs(2);
 
+/// The shortest time of observation from which a customer's demand is extrapolated.
+const MIN_DEMAND_TIME: Duration = Duration::from_millis(200);
+
 /// One customer's token bucket.
 #[derive(Debug)]
 pub(super) struct Bucket {
@@ -144,19 +147,20 @@
     fleet: UsageTotals,
     own_changed_at: Instant,
     fleet_changed_at: Instant,
-    /// The tokens that all hosts were asked for, per second.
+    /// The moving average of the tokens that all hosts were asked for, per second.
     demand: f64,
     demand_at: Instant,
+    /// Since when the requests of all hosts are known.
+    demand_since: Instant,
     sources: HashMap<Source, SourceUsage>,
 }
 
 impl Bucket {
-    pub(super) fn new(customer: &ForwardCustomer, initial_level: f64, now: Instant) -> Self {
-        let burst = customer.burst as f64;
+    pub(super) fn new(customer: &ForwardCustomer, level: f64, now: Instant) -> Self {
         Self {
             rate: customer.rate as f64,
-            burst,
-            level: burst * initial_level,
+            burst: customer.burst as f64,
+            level,
             queued: 0.0,
             refilled_at: now,
             own: UsageTotals::default(),
@@ -167,6 +171,7 @@
             fleet_changed_at: now,
             demand: 0.0,
             demand_at: now,
+            demand_since: now,
             sources: HashMap::new(),
         }
     }
@@ -218,14 +223,20 @@
     }
 
     fn add_demand(&mut self, tokens: Tokens, now: Instant) {
-        self.demand = self.demand(now) + tokens as f64 / DEMAND_WINDOW.as_secs_f64();
+        self.demand = self.decayed_demand(now) + tokens as f64 / DEMAND_WINDOW.as_secs_f64();
         self.demand_at = now;
     }
 
+    fn decayed_demand(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.demand_at);
+        self.demand * remaining_weight(elapsed)
+    }
+
     /// Returns the tokens per second that all hosts were asked for within about the last two seconds.
     pub(super) fn demand(&self, now: Instant) -> f64 {
-        let elapsed = now.saturating_duration_since(self.demand_at);
-        self.demand * (-elapsed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp()
+        let observed = now.saturating_duration_since(self.demand_since);
+        // The average starts at 0, so one over a short time is too low.
+        self.decayed_demand(now) / (1.0 - remaining_weight(observed.max(MIN_DEMAND_TIME)))
     }
 
     /// Charges what a source has granted since its last report, less what was assumed for it while it was silent.
@@ -241,6 +252,15 @@
             Source::Fleet => totals.without(self.reported),
             Source::Host(_) | Source::DataCentre(_) => totals,
         };
+        let is_sum = !matches!(source, Source::Host(_));
+        if is_sum
+            && !self
+                .sources
+                .keys()
+                .any(|known| !matches!(known, Source::Host(_)))
+        {
+            self.demand_since = now;
+        }
         let usage = self.sources.entry(source.clone()).or_default();
         let added = usage.advance(reporter, totals);
         let assumed = std::mem::take(&mut usage.assumed);
@@ -250,7 +270,7 @@
         self.refill(now);
         self.debit(added.granted as f64 - added.refunded as f64 - assumed);
         self.add_demand(added.requested, now);
-        if matches!(source, Source::Host(_)) {
+        if !is_sum {
             self.data_centre.add(added);
         }
         self.fleet.add(added);
@@ -285,6 +305,11 @@
     }
 }
 
+/// Returns the weight that a measurement still has in the average of the demand after `elapsed`.
+fn remaining_weight(elapsed: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp()
+}
+
 /// Rounds a number of tokens, which is not negative.
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn whole(tokens: f64) -> Tokens {
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -473,6 +473,7 @@
         number,
         uptime: millis(1),
         hosts: 2,
+        silent_hosts: 0,
         version: 1,
         leaving: false,
         usage: Vec::new(),
--- a/tests/suite/forward_relay_fleet.rs
+++ b/tests/suite/forward_relay_fleet.rs
@@ -112,7 +112,7 @@
         self.incarnations += 1;
         let port = u16::try_from(index).expect("index is small");
         // One host of each data centre in sixteen is large.
-        let capacity = if index / DATA_CENTRES % 16 == 0 {
+        let capacity = if (index / DATA_CENTRES).is_multiple_of(16) {
             500
         } else {
             120
--- a/tests/suite/forward_relays.rs
+++ b/tests/suite/forward_relays.rs
@@ -107,7 +107,7 @@
     }
     fleet.run(seconds(2));
     let role = |fleet: &RelayFleet, index: usize| fleet.hosts[index].state.peers().role();
-    let in_first = |index: &usize| index % 6 == 0;
+    let in_first = |index: &usize| index.is_multiple_of(6);
     let relays: Vec<_> = (0..120)
         .filter(in_first)
         .filter(|index| role(&fleet, *index) == Role::Relay)
@@ -176,12 +176,21 @@
 struct Draws(u64);
 
 impl Draws {
+    /// Returns the next number below `bound`.
+    fn below(&mut self, bound: u64) -> u64 {
+        self.next_bits() % bound
+    }
+
     fn next(&mut self) -> f64 {
+        self.next_bits() as f64 / (1u64 << 53) as f64
+    }
+
+    fn next_bits(&mut self) -> u64 {
         self.0 = self
             .0
             .wrapping_mul(6_364_136_223_846_793_005)
             .wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+        self.0 >> 11
     }
 }
 
@@ -210,11 +219,11 @@
             fleet.step();
             due += tokens_per_s as f64 * crate::forward_relay_fleet::STEP.as_secs_f64();
             while due > 0.0 {
-                let tokens = 2000 + u64::from((self.draws.next() * 6400.0) as u32);
+                let tokens = 2000 + self.draws.below(6400);
                 due -= tokens as f64;
                 self.requested += tokens;
-                let place = (self.draws.next() * fleet.hosts.len() as f64) as usize;
-                let host = &fleet.hosts[place];
+                let place = self.draws.below(fleet.hosts.len() as u64);
+                let host = &fleet.hosts[usize::try_from(place).expect("place is small")];
                 let (draw, now) = (self.draws.next(), fleet.now());
                 let charged =
                     host.state
--- a/tests/suite/forward_usage.rs
+++ b/tests/suite/forward_usage.rs
@@ -42,6 +42,7 @@
 fn tracker(initial_level: f64) -> UsageTracker {
     UsageTracker::new(UsageSettings {
         initial_level,
+        starts_full: initial_level >= 1.0,
         ..UsageSettings::default()
     })
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -17,6 +17,8 @@
 mod fleet_limits;
 mod forward_fleet;
 mod forward_path;
+mod forward_relay_fleet;
+mod forward_relays;
 mod forward_reservations;
 mod forward_store_watchers;
 mod forward_usage;
