End streams that go on without an event

Streams now end, and their engine counts as failing, at an event above 64 KiB and at the deadline; only whole events count as progress.

--- a/src/request/forward/events.rs
+++ b/src/request/forward/events.rs
@@ -1,9 +1,61 @@
 //! Splits a stream of server-sent events into whole events. Does no I/O.
 
+use std::fmt;
+
 use bytes::{Bytes, BytesMut};
 
-/// The longest incomplete event that is held back. A longer one is passed on in parts.
-const MAX_HELD_BYTES: usize = 64 << 10;
+/// The longest event. What goes on for longer without the end of an event is no event stream.
+const MAX_EVENT_BYTES: usize = 64 << 10;
+
+/// An upstream sent more than `MAX_EVENT_BYTES` without the end of an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OversizedEvent;
+
+impl fmt::Display for OversizedEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "event above {MAX_EVENT_BYTES} bytes; check what the upstream sends"
+        )
+    }
+}
+
+impl std::error::Error for OversizedEvent {}
+
+/// Finds the ends of events in a stream that is passed on as it arrives.
+#[derive(Debug, Default)]
+pub struct EventMeter {
+    /// The bytes since the end of the last whole event.
+    open_bytes: usize,
+    /// Whether the current line has no text yet.
+    is_line_empty: bool,
+}
+
+impl EventMeter {
+    /// Counts bytes that are passed on. Returns whether an event ended in them.
+    ///
+    /// # Errors
+    /// Returns `OversizedEvent` if the current event is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<bool, OversizedEvent> {
+        let mut has_ended = false;
+        for byte in bytes {
+            self.open_bytes += 1;
+            match byte {
+                b'\n' if self.is_line_empty => {
+                    has_ended = true;
+                    self.open_bytes = 0;
+                }
+                b'\n' => self.is_line_empty = true,
+                b'\r' => {}
+                _ => self.is_line_empty = false,
+            }
+        }
+        if self.open_bytes > MAX_EVENT_BYTES {
+            return Err(OversizedEvent);
+        }
+        Ok(has_ended)
+    }
+}
 
 /// Holds back the beginning of an event until the rest has arrived, so that a stream that breaks off can be
 /// resumed after a whole event.
@@ -15,17 +67,20 @@
 
 impl EventSplitter {
     /// Adds bytes and returns the events that are now whole, which may be none.
-    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+    ///
+    /// # Errors
+    /// Returns `OversizedEvent` if the event that is held back is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, OversizedEvent> {
         self.held.extend_from_slice(bytes);
-        let whole = match end_of_events(&self.held) {
-            0 if self.held.len() > MAX_HELD_BYTES => self.held.len(),
-            end => end,
-        };
+        let whole = end_of_events(&self.held);
         let events = self.held.split_to(whole).freeze();
         if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
         }
-        events
+        if self.held.len() > MAX_EVENT_BYTES {
+            return Err(OversizedEvent);
+        }
+        Ok(events)
     }
 
     /// Returns the id of the last whole event that has one.
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -1,5 +1,7 @@
 //! Relays an event stream to the caller. If it breaks off and is resumable, another engine continues it.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use futures_util::stream;
 use http::Response;
@@ -8,7 +10,7 @@
 
 use crate::process::forwarding::load::CallOutcome;
 use crate::request::forward::attempt::Attempt;
-use crate::request::forward::events::EventSplitter;
+use crate::request::forward::events::{EventMeter, EventSplitter, OversizedEvent};
 use crate::request::forward::generation::{DecodeFailure, Generation};
 use crate::request::forward::record::{ForwardRecord, Outcome};
 use crate::request::forward::transport::{BodyError, UpstreamBody};
@@ -21,7 +23,10 @@
     head: http::response::Parts,
     body: UpstreamBody,
     splitter: Option<EventSplitter>,
+    meter: EventMeter,
     has_first_event: bool,
+    /// When the last whole event arrived or, before the first one, when the engine accepted the stream.
+    last_event_at: Instant,
 }
 
 /// What the caller gets next.
@@ -39,13 +44,16 @@
     pub fn new(generation: Generation, attempt: Attempt, response: Response<UpstreamBody>) -> Self {
         let (head, body) = response.into_parts();
         let is_resumable = generation.call().route.repeat == RepeatPolicy::ResumableStream;
+        let last_event_at = generation.context().clock.now();
         Self {
             generation,
             attempt: Some(attempt),
             head,
             body,
             splitter: is_resumable.then(EventSplitter::default),
+            meter: EventMeter::default(),
             has_first_event: false,
+            last_event_at,
         }
     }
 
@@ -78,14 +86,11 @@
             let cause = match self.read().await {
                 Ok(Some(bytes)) => {
                     self.record_first_event(record);
-                    let bytes = match &mut self.splitter {
-                        Some(splitter) => splitter.push(&bytes),
-                        None => bytes,
-                    };
-                    if bytes.is_empty() {
-                        continue;
+                    match self.pass_on(bytes) {
+                        Ok(bytes) if bytes.is_empty() => continue,
+                        Ok(bytes) => return RelayStep::Bytes(bytes),
+                        Err(e) => e.to_string(),
                     }
-                    return RelayStep::Bytes(bytes);
                 }
                 Ok(None) => {
                     if let Some(attempt) = self.attempt.take() {
@@ -107,6 +112,22 @@
         }
     }
 
+    /// Returns what the caller gets of bytes that have arrived: whole events only if the stream is resumable.
+    fn pass_on(&mut self, bytes: Bytes) -> Result<Bytes, OversizedEvent> {
+        let (bytes, has_whole_event) = if let Some(splitter) = &mut self.splitter {
+            let events = splitter.push(&bytes)?;
+            let has_whole_event = !events.is_empty();
+            (events, has_whole_event)
+        } else {
+            let has_whole_event = self.meter.push(&bytes)?;
+            (bytes, has_whole_event)
+        };
+        if has_whole_event {
+            self.last_event_at = self.generation.context().clock.now();
+        }
+        Ok(bytes)
+    }
+
     fn record_first_event(&mut self, record: &mut ForwardRecord) {
         if std::mem::replace(&mut self.has_first_event, true) {
             return;
@@ -126,9 +147,14 @@
         let cx = self.generation.context();
         let mut deadline = self.generation.call().deadline;
         if self.splitter.is_some() {
-            deadline = deadline.min(cx.clock.now() + cx.settings.stall_timeout);
+            // Bytes that complete no event are no progress.
+            deadline = deadline.min(self.last_event_at + cx.settings.stall_timeout);
         }
         loop {
+            // A body that always has bytes ready would never let the timeout pass.
+            if cx.clock.now() >= deadline {
+                return Err("no event in time".to_owned());
+            }
             match tokio::time::timeout_at(deadline.into(), self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
@@ -164,6 +190,7 @@
                     self.body = response.into_body();
                     self.attempt = Some(attempt);
                     self.has_first_event = false;
+                    self.last_event_at = self.generation.context().clock.now();
                     return true;
                 }
                 Ok((response, attempt)) => {
--- a/tests/suite/platform_codec.rs
+++ b/tests/suite/platform_codec.rs
@@ -208,7 +208,7 @@
         let (mut rest, mut cuts) = (stream.as_bytes(), cuts.iter().cycle());
         while !rest.is_empty() {
             let (part, left) = rest.split_at((*cuts.next().expect("cycle")).min(rest.len()));
-            passed.extend_from_slice(&splitter.push(part));
+            passed.extend_from_slice(&splitter.push(part).expect("events are short"));
             rest = left;
         }
         prop_assert_eq!(&passed, whole.as_bytes());
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -172,6 +172,12 @@
     Hang,
     /// It refuses streams whose prompt was prefilled elsewhere, as an engine does that can't fetch the prompt.
     LosePrompt,
+    /// Its stream has events without end.
+    EndlessEvents,
+    /// Its body has bytes without end, and no event among them.
+    EndlessBytes,
+    /// Its stream has a byte now and then, and no whole event.
+    Trickle,
 }
 
 /// A request as an upstream received it.
@@ -223,7 +229,28 @@
         *lock(&self.behaviour) = behaviour;
     }
 
+    fn endless(&self, req: &BufferedRequest, text: &'static str, gap: Duration) -> Response<Body> {
+        let frames = stream::unfold((), move |()| async move {
+            if gap.is_zero() {
+                tokio::task::yield_now().await;
+            } else {
+                tokio::time::sleep(gap).await;
+            }
+            Some((Ok(Frame::data(Bytes::from_static(text.as_bytes()))), ()))
+        });
+        self.sign(req, answer_stream(frames))
+    }
+
     fn stream(&self, req: &BufferedRequest, behaviour: Behaviour) -> Response<Body> {
+        let text = "x".repeat(4096).leak();
+        match behaviour {
+            Behaviour::EndlessEvents => {
+                return self.endless(req, "id: 1\ndata: again\n\n", Duration::ZERO);
+            }
+            Behaviour::EndlessBytes => return self.endless(req, text, Duration::ZERO),
+            Behaviour::Trickle => return self.endless(req, "x", Duration::from_millis(100)),
+            _ => {}
+        }
         let last = req
             .headers()
             .get("last-event-id")
@@ -334,6 +361,10 @@
             Behaviour::Unsigned => {
                 response.headers_mut().remove("x-server-stamp");
             }
+            Behaviour::EndlessBytes => {
+                let text = "x".repeat(4096).leak();
+                return Some(self.endless(&req, text, Duration::ZERO));
+            }
             Behaviour::Fail => *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR,
             Behaviour::Truncate => {
                 let parts = vec![
