Make fewer store calls at the start of a large fleet

Hosts that start together found in their first list only those that registered before them, and for ten seconds took the fleet for a small one: all watched the configuration and read the list of upstreams themselves. Now the list of hosts is read again after 1.5 s, a host watches the configuration only once it knows whether there are relays, and it is ready once it has heard the others' grants (after 3 s at the latest). Registrations live 15 s and are renewed at half of that. A fleet has relays from 81 hosts on.

--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -51,6 +51,8 @@
     crash_reports: Mutex<RecentNews<CrashReport>>,
     /// Wakes the task that reads the list of upstreams, because other hosts' news of it is incomplete.
     list_incomplete: tokio::sync::Notify,
+    /// The time until which this host may not know yet whether the fleet has relays.
+    starts_until: watch::Sender<Option<Instant>>,
     /// When this host cuts off open requests; set once it drains.
     drain_deadline: Mutex<Option<Instant>>,
     /// Wakes the task that reports to other hosts.
@@ -73,6 +75,7 @@
             crashes: Mutex::new(CrashTable::new(MAX_CRASH_FINGERPRINTS)),
             crash_reports: Mutex::new(RecentNews::new(CRASH_REPORT_TTL)),
             list_incomplete: tokio::sync::Notify::new(),
+            starts_until: watch::Sender::default(),
             drain_deadline: Mutex::default(),
             report_requested: tokio::sync::Notify::new(),
             newest_version: watch::Sender::new(0),
@@ -80,15 +83,18 @@
     }
 
     /// Returns why the host is not ready for requests, or `None` if it is.
-    pub fn not_ready(&self) -> Option<&'static str> {
+    pub fn not_ready(&self, now: Instant) -> Option<&'static str> {
         if self.drain_deadline().is_some() {
             return Some("stopping");
         }
         if self.config.current().version == 0 {
             return Some("no configuration yet");
         }
-        let listed = self.with_directory(Directory::last_listed);
-        listed.is_none().then_some("no list of upstreams yet")
+        if self.with_directory(Directory::last_listed).is_none() {
+            return Some("no list of upstreams yet");
+        }
+        let is_starting = self.is_starting(now);
+        is_starting.then_some("grants of other hosts not heard yet")
     }
 
     /// Calls `read` with the directory, under a read lock.
@@ -232,6 +238,26 @@
         lock(&self.crash_reports).within(reach, now)
     }
 
+    /// Sets the time until which this host may not know yet whether the fleet has relays.
+    pub fn set_starts_until(&self, end: Option<Instant>) {
+        self.starts_until.send_replace(end);
+    }
+
+    /// Waits until this host knows whether the fleet has relays; forever if it knows already.
+    pub async fn start_ends(&self) {
+        let mut starts_until = self.starts_until.subscribe();
+        if starts_until.borrow().is_none() {
+            return std::future::pending().await;
+        }
+        // The sender lives as long as `self`.
+        let _ = starts_until.wait_for(Option::is_none).await;
+    }
+
+    /// Returns whether this host may not know yet whether the fleet has relays.
+    pub fn is_starting(&self, now: Instant) -> bool {
+        self.starts_until.borrow().is_some_and(|until| now < until)
+    }
+
     /// Sets the time at which this host, which drains from now on, cuts off open requests.
     pub fn set_drain_deadline(&self, end: Instant) {
         *lock(&self.drain_deadline) = Some(end);
--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
@@ -34,6 +34,9 @@
 /// The time before the end of the grace period at which a draining host cuts off open requests, to announce that it leaves.
 const GRACE_MARGIN: Duration = Duration::from_millis(350);
 
+/// The longest time after its start for which a host is not ready because it has not heard of the others' grants.
+const MAX_INTRODUCTION_TIME: Duration = Duration::from_secs(3);
+
 /// Added to `order_quiet`, the shortest time between stage orders of two hosts: the last order may still be under way.
 const ORDER_QUIET_MARGIN: Duration = Duration::from_millis(500);
 
@@ -94,6 +97,7 @@
         let mut forwarding = forwarding;
         forwarding.usage.starts_full = forwarding.first_start;
         let state = Arc::new(FleetState::new(&forwarding));
+        state.set_starts_until(Some(clock.now() + MAX_INTRODUCTION_TIME));
         let reports = ReportSocket::bind(settings.peer.address).await?;
         let registration = Registration {
             host: settings.host.clone(),
@@ -145,7 +149,7 @@
             tasks: BackgroundTasks::default(),
         });
         let operators_address = match settings.operators_address {
-            Some(address) => Some(start_operators(address, &settings, &state)?),
+            Some(address) => Some(start_operators(address, &settings, &state, &cx.clock)?),
             None => None,
         };
         let tasks = spawn_tasks(&watchers, &exchange, stage_controller);
@@ -168,7 +172,7 @@
 
     /// Returns why the host is not ready for requests, or `None` if it is.
     pub fn not_ready(&self) -> Option<&'static str> {
-        self.cx.state.not_ready()
+        self.cx.state.not_ready(self.cx.clock.now())
     }
 
     /// Applies the settings that need no restart: the retry budget and the times of a graceful shutdown.
@@ -233,16 +237,20 @@
     address: SocketAddr,
     settings: &Settings,
     state: &Arc<FleetState>,
+    clock: &Arc<dyn Clock>,
 ) -> std::io::Result<SocketAddr> {
     let host = settings.host.clone();
     let (versions, usage, peers) = (state.clone(), state.clone(), state.clone());
+    let (peers_clock, clock) = (clock.clone(), clock.clone());
     let dump = Dump::default()
         .with_view("host", move || host.clone())
         .with_view("configuration", move || versions.config.current().version)
         .with_view("usage", move || usage.usage.levels())
-        .with_view("peers", move || peers.peers().report_ages(Instant::now()));
+        .with_view("peers", move || {
+            peers.peers().report_ages(peers_clock.now())
+        });
     let state = state.clone();
-    let not_ready = move || state.not_ready().map(str::to_owned);
+    let not_ready = move || state.not_ready(clock.now()).map(str::to_owned);
     let view: Arc<dyn OperatorView> = NodeView::new(dump, Box::new(not_ready));
     operator::start(address, &view)
 }
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -138,6 +138,8 @@
     aggregates: HashMap<Source, Aggregate>,
     planner: RelayPlanner,
     role: Role,
+    /// Whether a list of hosts was applied.
+    is_listed: bool,
     /// The numbers of all and of silent hosts that a relay of this host's data centre reported last, and when.
     reported_hosts: Option<(usize, usize, Instant)>,
 }
@@ -187,6 +189,7 @@
     /// Applies the list of registered hosts, which must not contain this one. Returns the hosts that were removed, because they
     /// are silent and not listed.
     pub fn apply_registrations(&mut self, hosts: &[Registration], now: Instant) -> Vec<HostId> {
+        self.is_listed = true;
         for host in hosts {
             let known = self.peers.get_mut(&host.host);
             match known {
@@ -346,6 +349,11 @@
         self.peers.values().filter(is_silent).count()
     }
 
+    /// Returns whether this host knows the others, and what they have granted if the fleet has relays.
+    pub fn is_introduced(&self) -> bool {
+        self.is_listed && self.is_informed()
+    }
+
     /// Returns whether the sources that this host listens to were heard, so that it knows what others have granted.
     pub fn is_informed(&self) -> bool {
         match self.role {
--- a/src/process/forwarding/report_exchange.rs
+++ b/src/process/forwarding/report_exchange.rs
@@ -47,7 +47,7 @@
         Self {
             delay_per_host: Duration::from_millis(1),
             interval: Duration::from_millis(500),
-            max_direct_hosts: 100,
+            max_direct_hosts: 80,
             relay_delay: Duration::from_millis(200),
         }
     }
@@ -145,6 +145,9 @@
         let hosts = peers.host_count();
         let is_informed = peers.is_informed();
         let silent_hosts = peers.silent_hosts(&self.own, now);
+        if peers.is_introduced() {
+            self.state.set_starts_until(None);
+        }
         drop(peers);
         if plan.role != before {
             log::info!(target: "peers", "reports: {:?} instead of {before:?}, {hosts} hosts", plan.role);
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -29,6 +29,8 @@
     /// The time between two reads of the list of hosts. Hosts report their start and their stop to the others, so the list is only
     /// needed to find hosts that are gone without having reported it.
     pub host_list_interval: Duration,
+    /// The time between the first two reads of the list of hosts.
+    pub second_host_list_delay: Duration,
     /// The time for which a watch waits for a change. A dead connection is noticed only when the watch ends, or when another host
     /// reports a change that this one missed.
     pub watch_wait: Duration,
@@ -36,7 +38,7 @@
     pub store_backoff: Duration,
     /// The upper bound of that time.
     pub max_store_backoff: Duration,
-    /// The time to live of this host's registration, which is renewed after each third of it.
+    /// The time to live of this host's registration, which is renewed after each half of it.
     pub registration_ttl: Duration,
     /// The spread of the relays' reads of the list of upstreams after `directory_interval`.
     pub relay_list_spread: Duration,
@@ -79,10 +81,11 @@
             directory_interval_per_host: Duration::from_millis(60),
             max_directory_interval: Duration::from_millis(2400),
             host_list_interval: Duration::from_secs(10),
+            second_host_list_delay: Duration::from_millis(1500),
             watch_wait: Duration::from_secs(12),
             store_backoff: Duration::from_millis(200),
             max_store_backoff: Duration::from_millis(1500),
-            registration_ttl: Duration::from_secs(10),
+            registration_ttl: Duration::from_secs(15),
             relay_list_spread: Duration::from_millis(1200),
             member_list_spread: Duration::from_secs(2),
             exchange: ExchangeSettings::default(),
--- a/src/process/forwarding/store_watchers.rs
+++ b/src/process/forwarding/store_watchers.rs
@@ -117,10 +117,11 @@
             let mut after = listed.revision;
             loop {
                 // A watch on a dead connection reports no changes; other hosts' reports show that one was missed.
-                if self.hears_relays() {
+                if self.hears_relays() || self.state.is_starting(self.clock.now()) {
                     let delay = MAX_VERSION_LAG.mul_f64(rand::random());
                     tokio::select! {
                         () = self.state.wait_until_outdated(delay) => break,
+                        () = self.state.start_ends() => continue,
                         () = tokio::time::sleep(NEWS_CHECK_INTERVAL) => continue,
                     }
                 }
@@ -299,7 +300,7 @@
 
     /// Renews a lease until the store no longer has it.
     async fn keep_lease(&self, lease: LeaseId, backoff: &mut Backoff) {
-        let interval = self.settings.registration_ttl / 3;
+        let interval = self.settings.registration_ttl / 2;
         loop {
             tokio::time::sleep(interval).await;
             loop {
@@ -324,9 +325,9 @@
     pub async fn poll_hosts(&self) {
         let mut backoff = Backoff::new("list of hosts", &self.settings);
         self.registered.notified().await;
-        let mut is_first = true;
+        let mut reads = 0u32;
         loop {
-            let listed = if is_first {
+            let listed = if reads == 0 {
                 self.store.list(HOST_PREFIX).await
             } else {
                 self.store.list_allow_stale(HOST_PREFIX).await
@@ -335,15 +336,29 @@
                 Ok(entries) => {
                     backoff.succeeded();
                     self.apply_hosts(&entries);
-                    is_first = false;
+                    reads += 1;
                     let jitter = rand::random_range(0.8..1.2);
-                    tokio::time::sleep(self.settings.host_list_interval.mul_f64(jitter)).await;
+                    tokio::time::sleep(self.host_list_interval(reads).mul_f64(jitter)).await;
                 }
                 Err(e) => backoff.failed(&e).await,
             }
         }
     }
 
+    /// Returns the time until the list of hosts is read again after `reads` reads.
+    fn host_list_interval(&self, reads: u32) -> Duration {
+        let settings = &self.settings;
+        if reads == 1 {
+            // Of hosts that start together, each finds in its first list only those that registered before it.
+            return settings
+                .second_host_list_delay
+                .min(settings.host_list_interval);
+        }
+        // Relays find the hosts that are gone.
+        let factor = if self.hears_relays() { 3 } else { 1 };
+        settings.host_list_interval * factor
+    }
+
     fn apply_hosts(&self, entries: &[StoreEntry]) {
         let mut hosts = Vec::with_capacity(entries.len());
         for entry in entries {
