Compare a random part of the upstreams where many hosts choose

Each host compared all upstreams, and added a random part that grew with the number of hosts: at 295 hosts up to 15 calls, more than the loads differ by. Now the more calls begin between two reports, the fewer candidates are compared, at least two of the own data centre and two of the others; upstreams in trouble are still compared in full.

--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -55,6 +55,8 @@
     starts_until: watch::Sender<Option<Instant>>,
     /// When this host cuts off open requests; set once it drains.
     drain_deadline: Mutex<Option<Instant>>,
+    /// The time after which other hosts' calls are reported to this one.
+    report_delay: Mutex<Duration>,
     /// Wakes the task that reports to other hosts.
     report_requested: tokio::sync::Notify,
     /// The newest configuration version that any other host has reported to be in force.
@@ -77,6 +79,7 @@
             list_incomplete: tokio::sync::Notify::new(),
             starts_until: watch::Sender::default(),
             drain_deadline: Mutex::default(),
+            report_delay: Mutex::default(),
             report_requested: tokio::sync::Notify::new(),
             newest_version: watch::Sender::new(0),
         }
@@ -303,6 +306,16 @@
         }
     }
 
+    /// Sets the time after which other hosts' calls are reported to this one.
+    pub fn set_report_delay(&self, delay: Duration) {
+        *lock(&self.report_delay) = delay;
+    }
+
+    /// Returns the time after which other hosts' calls are reported to this one.
+    pub fn report_delay(&self) -> Duration {
+        *lock(&self.report_delay)
+    }
+
     /// Wakes the task that reports to the other hosts, so that a change is reported soon.
     pub fn request_report(&self) {
         self.report_requested.notify_one();
--- a/src/process/forwarding/report_exchange.rs
+++ b/src/process/forwarding/report_exchange.rs
@@ -108,13 +108,18 @@
     fn batching_delay(&self) -> Duration {
         let peers = self.state.peers();
         if peers.role() == Role::Direct {
-            let others = u32::try_from(peers.host_count() - 1).unwrap_or(u32::MAX);
-            self.settings.delay_per_host.saturating_mul(others)
+            self.direct_delay(peers.host_count())
         } else {
             self.settings.relay_delay
         }
     }
 
+    /// Returns the time for which changes are batched in a fleet of `hosts` without relays.
+    fn direct_delay(&self, hosts: usize) -> Duration {
+        let others = u32::try_from(hosts - 1).unwrap_or(u32::MAX);
+        self.settings.delay_per_host.saturating_mul(others)
+    }
+
     async fn send(&self, number: &mut u64, leaving: bool) {
         let now = self.clock.now();
         let plan = self.plan(now);
@@ -152,9 +157,15 @@
         if plan.role != before {
             log::info!(target: "peers", "reports: {:?} instead of {before:?}, {hosts} hosts", plan.role);
         }
+        let report_delay = if plan.role == Role::Direct {
+            self.direct_delay(hosts)
+        } else {
+            self.settings.longest_relay_delay()
+        };
+        self.state.set_report_delay(report_delay);
         self.state.usage.set_knowledge(FleetKnowledge {
             hosts,
-            relay_delay: (plan.role != Role::Direct).then(|| self.settings.longest_relay_delay()),
+            relay_delay: (plan.role != Role::Direct).then_some(report_delay),
             heard_part: 1.0 - silent_hosts as f64 / hosts as f64,
             is_informed,
         });
--- a/src/process/forwarding/selection.rs
+++ b/src/process/forwarding/selection.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use rand::RngExt;
+
 use crate::prelude::*;
 use crate::process::forwarding::directory::Instance;
 use crate::process::forwarding::load::LoadView;
@@ -32,8 +34,8 @@
     pub preferred_data_centre: DataCentreId,
     /// The memory of one engine in tokens; 0 for plain services.
     pub kv_tokens: Tokens,
-    /// The number of hosts, which all choose at the same time.
-    pub host_count: usize,
+    /// The time after which other hosts' calls are reported to this one.
+    pub report_delay: Duration,
 }
 
 /// An upstream that may be chosen.
@@ -68,9 +70,8 @@
     pub remote_transfer_penalty: Duration,
     /// The fraction of an engine's memory above which it counts as full, and is chosen only if all others are worse.
     pub max_kv_fill: f64,
-    /// The calls assumed to be not reported yet, per host. Each candidate is charged a random part of their time, so that many
-    /// hosts don't all choose the one that was best a moment ago.
-    pub unreported_calls_per_host: f64,
+    /// The time in which the running calls of a service are assumed to be replaced by others.
+    pub turnover: Duration,
     /// The time without an answer after which an upstream counts as hanging, as a multiple of the predicted time.
     pub hang_factor: f64,
     /// The lower bound of that time.
@@ -87,7 +88,7 @@
             remote_prefill_penalty: Duration::from_millis(40),
             remote_transfer_penalty: Duration::from_millis(100),
             max_kv_fill: 0.85,
-            unreported_calls_per_host: 0.05,
+            turnover: Duration::from_millis(2500),
             hang_factor: 6.0,
             min_hang_time: Duration::from_millis(250),
         }
@@ -101,7 +102,13 @@
 const CUT_OFF_PENALTY_S: f64 = 50.0;
 const BLOCKED_PENALTY_S: f64 = 100.0;
 
-/// Chooses the upstream with the shortest predicted time until the call is done, penalties included.
+/// The fewest upstreams that are compared. Between two random ones, even loads that are quite old avoid the long queues.
+const MIN_COMPARED: usize = 2;
+
+/// Chooses the upstream with the shortest predicted time until the call is done, penalties included, of a random part.
+///
+/// Other hosts choose at the same time and see the same loads. If all of them compared all upstreams, each would send its calls to
+/// the one that was best when they last reported. So the more calls begin between two reports, the fewer upstreams are compared.
 #[derive(Debug, Default)]
 pub struct PredictedTimeSelection {
     settings: SelectionSettings,
@@ -123,32 +130,25 @@
         let settings = &self.settings;
         let load = &candidate.load;
         let work = load.work();
-        let unreported = settings.unreported_calls_per_host
-            * requirements.host_count as f64
-            * rand::random::<f64>();
         let (time, remote_penalty) = match requirements.purpose {
             Purpose::Call => {
                 let time = load
                     .seconds_per_unit
                     .unwrap_or(settings.initial_call_time.as_secs_f64());
                 let queue = f64::from(work.calls + 1) / f64::from(candidate.instance.slots.max(1));
-                (
-                    time * (1.0 + queue + unreported),
-                    settings.remote_call_penalty,
-                )
+                (time * (1.0 + queue), settings.remote_call_penalty)
             }
             Purpose::Prefill => {
                 let seconds_per_token = load
                     .seconds_per_unit
                     .unwrap_or(1.0 / settings.initial_prefill_rate);
-                let tokens = (work.tokens + requirements.tokens) as f64
-                    + unreported * requirements.tokens as f64;
+                let tokens = (work.tokens + requirements.tokens) as f64;
                 (tokens * seconds_per_token, settings.remote_prefill_penalty)
             }
             Purpose::Decode => {
                 let slowdown = settings.decode_slowdown.as_secs_f64();
-                let calls = f64::from(work.calls) + unreported;
-                let time = load.seconds_per_unit.unwrap_or_default() + calls * slowdown;
+                let queue = f64::from(work.calls) * slowdown;
+                let time = load.seconds_per_unit.unwrap_or_default() + queue;
                 (time, settings.remote_transfer_penalty)
             }
         };
@@ -176,14 +176,62 @@
     }
 }
 
+impl PredictedTimeSelection {
+    /// Returns how many of `group` are compared.
+    fn compared(&self, requirements: &Requirements, group: &[(f64, &Candidate, usize)]) -> usize {
+        let running = group.iter().map(|(_, c, _)| f64::from(c.load.work().calls));
+        let delay = requirements.report_delay.as_secs_f64();
+        let unreported = running.sum::<f64>() * delay / self.settings.turnover.as_secs_f64();
+        // The quotient is positive and at most the number of candidates.
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let compared = (group.len() as f64 / unreported.max(1.0)).ceil() as usize;
+        compared.max(MIN_COMPARED)
+    }
+
+    /// Returns the candidate with the lowest cost of a random part of `group`, and the cost.
+    fn best_of_some(
+        &self,
+        requirements: &Requirements,
+        group: &mut [(f64, &Candidate, usize)],
+    ) -> Option<(f64, usize)> {
+        let compared = self.compared(requirements, group).min(group.len());
+        let mut rng = rand::rng();
+        for place in 0..compared {
+            let other = rng.random_range(place..group.len());
+            group.swap(place, other);
+        }
+        let best = group[..compared]
+            .iter()
+            .min_by(|a, b| a.0.total_cmp(&b.0))?;
+        Some((best.0, best.2))
+    }
+}
+
 impl Selection for PredictedTimeSelection {
     fn choose(&self, requirements: &Requirements, candidates: &[Candidate]) -> Option<usize> {
         // The first of equal candidates is chosen, so each choice begins at another one.
         let start = self.rotation.fetch_add(1, Ordering::Relaxed);
         let count = candidates.len();
         let rotated = (0..count).map(|i| (i + start) % count);
-        let costs = rotated.map(|i| (self.cost(requirements, &candidates[i]), i));
-        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, i)| i)
+        let costs: Vec<_> = rotated
+            .map(|i| (self.cost(requirements, &candidates[i]), &candidates[i], i))
+            .collect();
+        let is_sound = |(cost, _, _): &&(f64, &Candidate, usize)| *cost < HANGING_PENALTY_S;
+        let is_near = |(_, candidate, _): &(f64, &Candidate, usize)| {
+            candidate.instance.data_centre == requirements.preferred_data_centre
+        };
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            costs.iter().filter(is_sound).partition(|c| is_near(c));
+        let near = self.best_of_some(requirements, &mut near);
+        let far = self.best_of_some(requirements, &mut far);
+        let sound = near.into_iter().chain(far);
+        let best = sound.min_by(|a, b| a.0.total_cmp(&b.0));
+        // Upstreams in trouble are compared in full: few choose them, and the least bad one matters.
+        let fallback = || {
+            let all = costs.iter().map(|(cost, _, i)| (*cost, *i));
+            all.min_by(|a, b| a.0.total_cmp(&b.0))
+        };
+        best.or_else(fallback).map(|(_, i)| i)
     }
 }
 
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -206,7 +206,7 @@
             },
             preferred_data_centre: preferred_data_centre.clone(),
             kv_tokens: self.engine.kv_tokens,
-            host_count: self.cx.state.peers().host_count(),
+            report_delay: self.cx.state.report_delay(),
         };
         let stages: &[Stage] = match purpose {
             Purpose::Prefill => &[Stage::Prefill],
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -115,7 +115,7 @@
             tokens: 0,
             preferred_data_centre: self.cx.data_centre.clone(),
             kv_tokens: 0,
-            host_count: self.cx.state.peers().host_count(),
+            report_delay: self.cx.state.report_delay(),
         };
         let stages = [Stage::Whole, Stage::Decode];
         let model = self.call.head.model.as_ref();
--- a/tests/suite/forward_endless.rs
+++ b/tests/suite/forward_endless.rs
@@ -12,12 +12,12 @@
 use crate::platform_stand_in::{Behaviour, EVENT_COUNT, Platform, event};
 
 /// The route's timeout of streams in the stand-ins' configuration, and the time after it by which an answer must have ended.
-const STREAM_LIMIT: Duration = Duration::from_millis(4000 + 500);
+const STREAM_LIMIT: Duration = Duration::from_millis(4500);
 
 /// The time without a whole event after which a resumable stream must go on at another engine, and that for the rest of it.
-const RESUME_LIMIT: Duration = Duration::from_millis(1500 + 500);
+const RESUME_LIMIT: Duration = Duration::from_secs(2);
 
-async fn set_decode_engines(platform: &Platform, behaviour: Behaviour) {
+fn set_decode_engines(platform: &Platform, behaviour: Behaviour) {
     for id in ["d-0", "d-1"] {
         platform.upstream(id).set_behaviour(behaviour);
     }
@@ -28,7 +28,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endless_events_end_at_the_timeout() {
     let platform = Platform::start().await;
-    set_decode_engines(&platform, Behaviour::EndlessEvents).await;
+    set_decode_engines(&platform, Behaviour::EndlessEvents);
     let started = Instant::now();
     let answer = tokio::time::timeout(STREAM_LIMIT * 2, platform.call("POST", "/text/1")).await;
     let answer = answer.expect("the stream ends");
@@ -40,7 +40,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bytes_that_are_no_event_end_the_stream() {
     let platform = Platform::start().await;
-    set_decode_engines(&platform, Behaviour::EndlessBytes).await;
+    set_decode_engines(&platform, Behaviour::EndlessBytes);
     for path in ["/text/1", "/long/1"] {
         let started = Instant::now();
         let answer = tokio::time::timeout(STREAM_LIMIT * 2, platform.call("POST", path)).await;
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -280,7 +280,7 @@
         tokens: 5000,
         preferred_data_centre: "x".into(),
         kv_tokens: 50_000,
-        host_count: 1,
+        report_delay: Duration::ZERO,
     }
 }
 
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -17,6 +17,7 @@
 mod fleet_limits;
 mod forward_endless;
 mod forward_fleet;
+mod forward_many_choosers;
 mod forward_path;
 mod forward_relay_fleet;
 mod forward_relays;
