Drop reports of ended processes and bound the numbers of reports

A late report brought back a host that had left, or the previous process of one that had restarted, and the sum of reported work could overflow. Ended incarnations are remembered, reported work is limited, and reports that can't be decoded are counted. Both tests failed before: the late report was applied, the sum panicked in a debug build.

--- a/src/connection/forward/reports.rs
+++ b/src/connection/forward/reports.rs
@@ -10,6 +10,7 @@
 use crate::connection::codec;
 use crate::process::forwarding::peers::HostReport;
 use crate::process::forwarding::report_exchange::ReportLink;
+use crate::process::metrics;
 
 /// The largest report, in bytes; a UDP datagram carries somewhat more.
 const MAX_REPORT_BYTES: usize = 60 << 10;
@@ -72,7 +73,10 @@
             };
             match codec::decode_exactly::<HostReport, MAX_REPORT_BYTES>(&buf[..size]) {
                 Ok(report) => return report,
-                Err(e) => log::warn!(target: "peers", "failed to decode a report from {from}: {e}"),
+                Err(e) => {
+                    ::metrics::counter!(metrics::REPORTS_DROPPED).increment(1);
+                    log::warn!(target: "peers", "failed to decode a report from {from}: {e}");
+                }
             }
         }
     }
--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -26,9 +26,18 @@
 
 impl Work {
     fn add(&mut self, other: Self) {
-        self.calls += other.calls;
-        self.tokens += other.tokens;
-        self.prompts += other.prompts;
+        self.calls = self.calls.saturating_add(other.calls);
+        self.tokens = self.tokens.saturating_add(other.tokens);
+        self.prompts = self.prompts.saturating_add(other.prompts);
+    }
+
+    /// Returns this work, limited to what a fleet can give to one upstream, so that sums of reported work never overflow.
+    fn bounded(self) -> Self {
+        Self {
+            calls: self.calls.min(MAX_REPORTED_CALLS),
+            tokens: self.tokens.min(MAX_REPORTED_TOKENS),
+            prompts: self.prompts.min(MAX_REPORTED_TOKENS),
+        }
     }
 
     /// Removes a part of the work; what is not there counts as removed.
@@ -39,6 +48,12 @@
     }
 }
 
+/// The most calls that a report may state for one upstream.
+const MAX_REPORTED_CALLS: u32 = 1 << 16;
+
+/// The most tokens that a report may state for one upstream.
+const MAX_REPORTED_TOKENS: Tokens = 1 << 32;
+
 /// Identifies one call within a `LoadTracker`.
 pub type CallId = u64;
 
@@ -334,7 +349,7 @@
             let mut upstreams = self.upstreams.lock(upstream);
             // An upstream that this host does not know yet can't be chosen, so its load does not matter.
             if let Some(load) = upstreams.get_mut(upstream) {
-                load.others.push((source.clone(), *work, now));
+                load.others.push((source.clone(), work.bounded(), now));
             }
         }
     }
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -1,6 +1,6 @@
 //! The other hosts and their reports. Performs no I/O and reads no clock.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -128,6 +128,9 @@
 /// The time without a report after which a host counts as silent. At least two reports are due within it.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// The number of ended incarnations that are remembered: more than are replaced while a report can be under way.
+const MAX_ENDED: usize = 1024;
+
 /// The time without a report after which a host that never registered is removed.
 const UNREGISTERED_TTL: Duration = Duration::from_secs(5);
 
@@ -138,6 +141,8 @@
     aggregates: HashMap<Source, Aggregate>,
     planner: RelayPlanner,
     role: Role,
+    /// The incarnations that were replaced or have left, oldest first. Their late reports are dropped.
+    ended: VecDeque<Incarnation>,
     /// Whether a list of hosts was applied.
     is_listed: bool,
     /// The numbers of all and of silent hosts that a relay of this host's data centre reported last, and when.
@@ -161,11 +166,20 @@
         {
             return ReportFreshness::Stale;
         }
+        if self.ended.contains(&sender.incarnation) {
+            return ReportFreshness::Stale;
+        }
+        let replaced = known.map(|known| known.incarnation);
+        let replaced = replaced.filter(|known| *known != sender.incarnation);
+        let registered = known.is_some_and(|peer| peer.registered);
+        if let Some(replaced) = replaced {
+            self.add_ended(replaced);
+        }
         if report.leaving {
+            self.add_ended(sender.incarnation);
             self.peers.remove(&sender.host);
             return ReportFreshness::Newest;
         }
-        let registered = known.is_some_and(|peer| peer.registered);
         if report.reach == Reach::Fleet {
             self.reported_hosts = Some((report.hosts, report.silent_hosts, now));
         }
@@ -186,6 +200,13 @@
         ReportFreshness::Newest
     }
 
+    fn add_ended(&mut self, incarnation: Incarnation) {
+        if self.ended.len() == MAX_ENDED {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(incarnation);
+    }
+
     /// Applies the list of registered hosts, which must not contain this one. Returns the hosts that were removed, because they
     /// are silent and not listed.
     pub fn apply_registrations(&mut self, hosts: &[Registration], now: Instant) -> Vec<HostId> {
@@ -193,6 +214,7 @@
         for host in hosts {
             let known = self.peers.get_mut(&host.host);
             match known {
+                _ if self.ended.contains(&host.incarnation) => {}
                 Some(peer) if peer.incarnation == host.incarnation => peer.registered = true,
                 // The reports of a live host carry a newer incarnation than the list may hold.
                 Some(peer) if peer.is_live(now) => {
--- a/src/process/forwarding/usage/bucket.rs
+++ b/src/process/forwarding/usage/bucket.rs
@@ -274,7 +274,7 @@
             self.data_centre.add(added);
         }
         self.fleet.add(added);
-        self.fleet.refunded += whole(assumed);
+        self.fleet.refunded = self.fleet.refunded.saturating_add(whole(assumed));
         self.fleet_changed_at = now;
     }
 
@@ -283,7 +283,7 @@
         self.refill(now);
         self.debit(tokens);
         self.sources.entry(source.clone()).or_default().assumed += tokens;
-        self.fleet.granted += whole(tokens);
+        self.fleet.granted = self.fleet.granted.saturating_add(whole(tokens));
         self.fleet_changed_at = now;
     }
 
--- a/tests/suite/forward_relays.rs
+++ b/tests/suite/forward_relays.rs
@@ -7,12 +7,14 @@
     Directory, Instance, ListChange, ListNews, NewsOutcome, Stage,
 };
 use hibiscusspread::process::forwarding::load::Work;
+use hibiscusspread::process::forwarding::peers::{HostReport, PeerTable, ReportFreshness};
 use hibiscusspread::process::forwarding::relays::Role;
 use hibiscusspread::process::forwarding::source::Reach;
+use hibiscusspread::process::forwarding::usage::UsageTotals;
 use hibiscusspread::process::forwarding::wait_queue::Waiter;
 use hibiscusspread::version::forwarding::ForwardCustomer;
 
-use crate::forward_fleet::decode_instance;
+use crate::forward_fleet::{decode_instance, report};
 use crate::forward_relay_fleet::{ROUND, RelayFleet};
 
 /// The most datagrams that a host may send and receive a second, on average.
@@ -314,6 +316,77 @@
     assert!(most <= allowed, "{most} of {allowed}");
 }
 
+/// Guards against one report with impossible numbers that takes a host down or ends its choice of upstreams.
+#[test]
+fn report_with_extreme_numbers_does_no_harm() {
+    let mut fleet = RelayFleet::start(60, vec![customer()], true);
+    let engine = decode_instance("e");
+    fleet.hosts[0].state.loads.track(&engine);
+    fleet.run(seconds(2));
+    let host = &fleet.hosts[0];
+    let now = fleet.now();
+    let extreme = Work {
+        calls: u32::MAX,
+        tokens: u64::MAX,
+        prompts: u64::MAX,
+    };
+    let totals = UsageTotals {
+        granted: u64::MAX,
+        refunded: u64::MAX,
+        requested: u64::MAX,
+    };
+    for (number, reach) in [Reach::Host, Reach::DataCentre, Reach::Fleet]
+        .into_iter()
+        .enumerate()
+    {
+        let report = HostReport {
+            reach,
+            hosts: usize::MAX,
+            silent_hosts: usize::MAX,
+            uptime: Duration::MAX,
+            usage: vec![("coast".into(), totals)],
+            work: vec![("e".into(), extreme), ("unknown".into(), extreme)],
+            list: Some(ListNews {
+                revision: u64::MAX,
+                age: Duration::MAX,
+                digest: 1,
+                changes: vec![ListChange::Removed("e".into())],
+            }),
+            ..report("intruder", 7, number as u64)
+        };
+        host.exchange.apply_report(&report, now);
+    }
+    for _ in 0..3 {
+        fleet.run(seconds(1));
+        let host = &fleet.hosts[0];
+        let view = host.state.loads.view(&engine, fleet.now());
+        assert!(view.work().calls < u32::MAX);
+        let _ = host
+            .state
+            .usage
+            .charge(&customer(), 5000, Duration::ZERO, 0.5, fleet.now());
+    }
+}
+
+/// Guards against a late report that brings back a host that left, or the previous process of one that restarted.
+#[test]
+fn late_report_does_not_bring_back_an_ended_process() {
+    let now = Instant::now();
+    let mut peers = PeerTable::default();
+    peers.record_report(&report("b", 1, 5), now);
+    peers.record_report(&report("b", 2, 1), now);
+    let late = peers.record_report(&report("b", 1, 6), now);
+    assert_eq!(late, ReportFreshness::Stale);
+    let leaving = HostReport {
+        leaving: true,
+        ..report("b", 2, 7)
+    };
+    peers.record_report(&leaving, now);
+    let late = peers.record_report(&report("b", 2, 6), now);
+    assert_eq!(late, ReportFreshness::Stale);
+    assert_eq!(peers.host_count(), 1);
+}
+
 fn listed(id: &str, stage: Stage) -> Instance {
     Instance {
         stage,
