Test limits, versions and lists of large fleets under random trouble

Random kills, cuts and losses at 60 and 300 hosts, and the news of a version and of a left upstream at 295 and 386 hosts within two seconds.

--- a/tests/suite/forward_relay_fleet.rs
+++ b/tests/suite/forward_relay_fleet.rs
@@ -33,6 +33,9 @@
     inboxes: Mutex<HashMap<SocketAddr, Vec<HostReport>>>,
     /// The hosts that get nothing.
     cut_off: Mutex<HashSet<SocketAddr>>,
+    /// Each datagram whose number is a multiple of this is lost; 0 for none.
+    lost_each: Mutex<usize>,
+    sent: Mutex<usize>,
     count: Mutex<HashMap<SocketAddr, usize>>,
 }
 
@@ -51,6 +54,12 @@
             if cut_off.contains(address) || cut_off.contains(&self.own) {
                 continue;
             }
+            let mut sent = lock(&self.datagrams.sent);
+            *sent += 1;
+            let lost_each = *lock(&self.datagrams.lost_each);
+            if lost_each > 0 && sent.is_multiple_of(lost_each) {
+                continue;
+            }
             *count.entry(*address).or_default() += 1;
             let mut inboxes = lock(&self.datagrams.inboxes);
             inboxes.entry(*address).or_default().push(report.clone());
@@ -183,6 +192,11 @@
         }
     }
 
+    /// Loses one datagram of each `count` from now on; none if it is 0.
+    pub fn lose_each(&self, count: usize) {
+        *lock(&self.datagrams.lost_each) = count;
+    }
+
     /// Lets `STEP` pass: each host sends if its round is due, and applies what has arrived.
     pub fn step(&mut self) {
         self.clock.advance(STEP);
--- a/tests/suite/forward_relays.rs
+++ b/tests/suite/forward_relays.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use proptest::prelude::*;
+
 use hibiscusspread::prelude::*;
 use hibiscusspread::process::forwarding::directory::{
     Directory, Instance, ListChange, ListNews, NewsOutcome, Stage,
@@ -12,7 +14,7 @@
 use hibiscusspread::process::forwarding::source::Reach;
 use hibiscusspread::process::forwarding::usage::UsageTotals;
 use hibiscusspread::process::forwarding::wait_queue::Waiter;
-use hibiscusspread::version::forwarding::ForwardCustomer;
+use hibiscusspread::version::forwarding::{ForwardCustomer, ForwardingTable};
 
 use crate::forward_fleet::{decode_instance, report};
 use crate::forward_relay_fleet::{ROUND, RelayFleet};
@@ -316,6 +318,94 @@
     assert!(most <= allowed, "{most} of {allowed}");
 }
 
+/// Guards against a withdrawn key or a leaving upstream that hosts without a read of the store of their own hear of too late: after
+/// two seconds, half of what the platform allows.
+#[test]
+fn new_version_and_left_upstream_reach_all_hosts() {
+    for count in [295, 386] {
+        let mut fleet = RelayFleet::start(count, Vec::new(), true);
+        let now = fleet.now();
+        for host in &fleet.hosts {
+            let list = vec![listed("a", Stage::Decode), listed("b", Stage::Decode)];
+            host.state.apply_list(list, 1, now);
+        }
+        fleet.run(seconds(2));
+        let relays = 0..count;
+        let relay = relays
+            .into_iter()
+            .find(|index| fleet.hosts[*index].state.peers().role() == Role::Relay);
+        let relay = relay.expect("there is a relay");
+        let now = fleet.now();
+        let state = &fleet.hosts[relay].state;
+        state.apply_list(vec![listed("a", Stage::Decode)], 2, now);
+        let mut table = ForwardingTable::default();
+        table.version = 7;
+        assert!(state.config.advance(table));
+        fleet.run(seconds(2));
+        for (index, host) in fleet.hosts.iter().enumerate() {
+            assert!(index == relay || host.state.is_config_outdated(), "{index}");
+            let available = host.state.available_upstreams("writers").len();
+            assert_eq!(available, 1, "{index}");
+        }
+    }
+}
+
+/// What happens to some hosts of a fleet.
+#[derive(Debug, Clone, Copy)]
+enum Trouble {
+    /// Each n-th host is killed and started again.
+    Restart(usize),
+    /// Each n-th host is cut off from the others for three seconds.
+    CutOff(usize),
+    /// One datagram of each n is lost for three seconds.
+    Loss(usize),
+    /// Nothing.
+    Calm,
+}
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    prop_oneof![
+        (1usize..8).prop_map(Trouble::Restart),
+        (2usize..8).prop_map(Trouble::CutOff),
+        (3usize..20).prop_map(Trouble::Loss),
+        Just(Trouble::Calm),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(6))]
+
+    /// Guards against more grants than limit and tolerated overrun allow in any eight seconds, whatever is killed, cut off or lost.
+    #[test]
+    fn limit_holds_under_random_trouble(
+        troubles in prop::collection::vec(trouble(), 1..4),
+        hosts in prop::sample::select(vec![60usize, 300]),
+        demand_times in 1u64..6,
+        seed in 0u64..1_000_000,
+    ) {
+        let mut fleet = RelayFleet::start(hosts, vec![customer()], true);
+        fleet.run(seconds(2));
+        let mut demand = Demand::new(seed);
+        demand.run(&mut fleet, seconds(5), RATE * demand_times);
+        for trouble in troubles {
+            let every = |n: usize| (0..hosts).step_by(n);
+            match trouble {
+                Trouble::Restart(n) => every(n).for_each(|index| fleet.restart(index)),
+                Trouble::CutOff(n) => every(n).for_each(|index| fleet.set_cut_off(index, true)),
+                Trouble::Loss(n) => fleet.lose_each(n),
+                Trouble::Calm => {}
+            }
+            demand.run(&mut fleet, seconds(3), RATE * demand_times);
+            fleet.lose_each(0);
+            every(1).for_each(|index| fleet.set_cut_off(index, false));
+        }
+        demand.run(&mut fleet, seconds(3), RATE * demand_times);
+        let most = demand.most_in_window();
+        let allowed = RATE * 8 + BURST + OVERRUN;
+        prop_assert!(most <= allowed, "{most} of {allowed}");
+    }
+}
+
 /// Guards against one report with impossible numbers that takes a host down or ends its choice of upstreams.
 #[test]
 fn report_with_extreme_numbers_does_no_harm() {
