Test what went wrong for operators of similar systems at the connections

A late second copy on a kept connection, foreign datagrams on the report port, slow but sound streams, and a host that starts and hears an older list of upstreams.

--- /dev/null
+++ b/tests/suite/forward_connections.rs
@@ -0,0 +1,91 @@
+//! What arrives on connections that is not what was asked for.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::Request;
+use http_body_util::Full;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+
+use hibiscusspread::connection::forward::reports::ReportSocket;
+use hibiscusspread::connection::forward::upstream_pool::{PooledTransport, UpstreamPool};
+use hibiscusspread::process::forwarding::report_exchange::ReportLink;
+use hibiscusspread::request::forward::transport::{SendLimits, UpstreamTransport, read_whole};
+
+use crate::forward_fleet::report;
+
+/// Answers each request on a connection with its number on that connection, and the first one twice: the second copy comes late.
+async fn answer_first_twice(mut socket: TcpStream) {
+    let mut buf = [0; 4096];
+    for number in 0.. {
+        match socket.read(&mut buf).await {
+            Ok(read) if read > 0 => {}
+            _ => return,
+        }
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{number}");
+        if socket.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+        if number == 0 {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            // The host may have closed the connection.
+            let _ = socket.write_all(answer.as_bytes()).await;
+        }
+    }
+}
+
+async fn call(transport: &PooledTransport, to: SocketAddr) -> String {
+    let limits = SendLimits {
+        connect_timeout: Duration::from_secs(1),
+        deadline: Instant::now() + Duration::from_secs(2),
+        may_reuse_connection: true,
+    };
+    let req = Request::get("/").body(Full::default()).expect("request");
+    let response = transport.send(to, req, limits).await.expect("answer");
+    let read = read_whole(&mut response.into_body(), 1024).await;
+    let bytes = read.expect("whole body").expect("short body");
+    String::from_utf8(bytes.to_vec()).expect("text")
+}
+
+/// Guards against a second copy of an answer, late on a connection that is kept, which the next caller takes for its own.
+#[tokio::test]
+async fn late_second_copy_closes_a_kept_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("address");
+    let server = tokio::spawn(async move {
+        let mut connections = 0;
+        loop {
+            let (socket, _) = listener.accept().await.expect("connection");
+            connections += 1;
+            tokio::spawn(answer_first_twice(socket));
+            if connections == 2 {
+                return;
+            }
+        }
+    });
+    let transport = PooledTransport(UpstreamPool::new());
+    assert_eq!(call(&transport, address).await, "0");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    // On the kept connection the answer would be the copy, or "1" after it.
+    assert_eq!(call(&transport, address).await, "0");
+    let opened = tokio::time::timeout(Duration::from_secs(1), server).await;
+    assert!(opened.is_ok(), "the second call opens a connection");
+}
+
+/// Guards against a datagram that is no report, too long or cut off and that ends the task which receives reports.
+#[tokio::test]
+async fn foreign_datagrams_are_dropped() {
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("address");
+    let socket = ReportSocket::bind(any).await.expect("loopback");
+    let to = socket.address().expect("address");
+    let sender = ReportSocket::bind(any).await.expect("loopback");
+    let foreign = UdpSocket::bind(any).await.expect("loopback");
+    let sent = report("b", 1, 5);
+    for datagram in [vec![], vec![0xff; 3], vec![0xfd; 2000], vec![7; 60_000]] {
+        foreign.send_to(&datagram, to).await.expect("sent");
+    }
+    sender.send(&[to], &sent).await;
+    let received = tokio::time::timeout(Duration::from_secs(2), socket.receive()).await;
+    assert_eq!(received.expect("a report arrives"), sent);
+}
--- a/tests/suite/forward_endless.rs
+++ b/tests/suite/forward_endless.rs
@@ -71,6 +71,21 @@
     }
 }
 
+/// Guards against cutting a stream that is slow but sound.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_stream_arrives_whole() {
+    let platform = Platform::start().await;
+    set_decode_engines(&platform, Behaviour::SlowEvents);
+    let whole: String = (0..EVENT_COUNT).map(event).collect();
+    for path in ["/text/1", "/long/1"] {
+        let mut req = platform.request("POST", path);
+        let patient = "4000".parse().expect("value");
+        req.headers_mut().insert("x-deadline-ms", patient);
+        let answer = platform.send(req).await;
+        assert_eq!((answer.body.as_str(), answer.is_complete), (&*whole, true));
+    }
+}
+
 /// Guards against an endless answer of a plain service that fills a host's memory or keeps its caller from another upstream.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endless_answer_of_a_service_is_given_up() {
--- a/tests/suite/forward_relays.rs
+++ b/tests/suite/forward_relays.rs
@@ -528,6 +528,20 @@
     assert_eq!(member.last_listed(), Some(now + seconds(2)));
 }
 
+/// Guards against a host that starts and takes the list of upstreams from another one instead of the store: it may be older than what
+/// the previous process knew.
+#[test]
+fn host_that_starts_reads_the_list_itself() {
+    let now = Instant::now();
+    let mut relay = Directory::default();
+    relay.apply(vec![listed("a", Stage::Decode)], 10, now);
+    let news = relay.news(now).expect("there is a list");
+    let mut starting = Directory::default();
+    assert_eq!(starting.apply_news(&news, now).0, NewsOutcome::Incomplete);
+    assert_eq!(starting.last_listed(), None);
+    assert!(starting.available("writers").is_none());
+}
+
 /// Guards against upstreams that a host marked as left because another one answered at their address, and that news from before
 /// brings back.
 #[test]
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -145,6 +145,10 @@
 /// The delay of an upstream with `Behaviour::Slow`.
 const SLOW: Duration = Duration::from_millis(600);
 
+/// The pause between two events of `Behaviour::SlowEvents`: longer than the route's target for it, and short enough for all events to
+/// arrive before the route's timeout.
+const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(450);
+
 /// How an upstream treats the requests that it gets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Behaviour {
@@ -178,6 +182,8 @@
     EndlessBytes,
     /// Its stream has a byte now and then, and no whole event.
     Trickle,
+    /// Its stream is whole, with long pauses between events.
+    SlowEvents,
 }
 
 /// A request as an upstream received it.
@@ -265,8 +271,13 @@
             chunks.push(Ok(Frame::data(Bytes::from(PARTIAL_EVENT))));
             chunks.push(Err(std::io::Error::other("crashed")));
         }
-        let paced = stream::iter(chunks).then(|chunk| async {
-            tokio::time::sleep(Duration::from_millis(2)).await;
+        let pause = if behaviour == Behaviour::SlowEvents {
+            SLOW_EVENT_PAUSE
+        } else {
+            Duration::from_millis(2)
+        };
+        let paced = stream::iter(chunks).then(move |chunk| async move {
+            tokio::time::sleep(pause).await;
             chunk
         });
         self.sign(req, answer_stream(paced))
