Tell no host of the first list of upstreams as a change

A relay told each upstream of the first list that it read as a change for four seconds. The first list is no change now, and a report tells 128 changes at most; hosts that miss one read the list themselves. The test failed before (3,000 changes), and passes.

--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -1,6 +1,6 @@
 //! The upstreams that are registered in the store. Performs no I/O and reads no clock.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -101,6 +101,9 @@
     }
 }
 
+/// The most changes of the list that a report tells; they fit into a datagram beside the rest of a report.
+const MAX_REPORTED_CHANGES: usize = 128;
+
 /// The newest changes of the list of upstreams, for hosts that don't read it from the store themselves.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListNews {
@@ -142,7 +145,7 @@
     /// The digest of the list, see `ListNews`.
     digest: u64,
     /// The changes of the list, with the time at which this host learned of each.
-    changes: Vec<(Instant, ListChange)>,
+    changes: VecDeque<(Instant, ListChange)>,
     /// The upstreams that were found to have left although they are listed, each with its start in Unix milliseconds and the time.
     /// They get no work until a list that was requested later.
     marked: HashMap<UpstreamId, (u64, Instant)>,
@@ -169,7 +172,7 @@
             last_listed: None,
             revision: 0,
             digest: 0,
-            changes: Vec::new(),
+            changes: VecDeque::new(),
             marked: HashMap::new(),
         }
     }
@@ -202,6 +205,7 @@
         if !keeps_missing {
             self.outage_ended = None;
         }
+        let is_first = self.last_listed.is_none();
         let mut change = DirectoryChange::default();
         let mut next = HashMap::with_capacity(listed.len());
         for instance in listed {
@@ -209,8 +213,10 @@
             let instance = match known {
                 Some(known) if *known == instance => known,
                 known => {
-                    let put = ListChange::Put(instance.clone());
-                    self.changes.push((requested_at, put));
+                    if !is_first {
+                        let put = ListChange::Put(instance.clone());
+                        self.record_change(put, requested_at);
+                    }
                     let instance = Arc::new(instance);
                     let is_restart = known.as_ref().is_none_or(|k| k.born != instance.born);
                     if instance.draining && known.is_some_and(|k| !k.draining) {
@@ -228,7 +234,7 @@
                 change.kept += 1;
                 next.insert(id, missing);
             } else {
-                self.changes.push((requested_at, ListChange::Removed(id)));
+                self.record_change(ListChange::Removed(id), requested_at);
                 change.left.push(missing);
             }
         }
@@ -325,7 +331,15 @@
                 change.left.push(removed);
             }
         }
-        self.changes.push((now, listed.clone()));
+        self.record_change(listed.clone(), now);
+    }
+
+    /// Records a change to tell other hosts of it. Of too many, the oldest are dropped: hosts that miss one read the list themselves.
+    fn record_change(&mut self, change: ListChange, now: Instant) {
+        if self.changes.len() == MAX_REPORTED_CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back((now, change));
     }
 
     /// Marks an instance as left because another one answers at its address. It is reported to other hosts, each of which would
--- a/tests/suite/forward_relays.rs
+++ b/tests/suite/forward_relays.rs
@@ -542,6 +542,29 @@
     assert!(starting.available("writers").is_none());
 }
 
+/// Load pattern: all hosts restart before 3,000 engines. Guards against relays whose reports tell each engine of their first list as a
+/// change, so that the reports don't fit into a datagram and no host hears of the others for seconds.
+#[test]
+fn first_list_is_no_news() {
+    let now = Instant::now();
+    let mut relay = Directory::default();
+    let engines = 0..3000;
+    let mut list: Vec<_> = engines
+        .map(|index| listed(&format!("e{index}"), Stage::Decode))
+        .collect();
+    relay.apply(list.clone(), 10, now);
+    let news = relay.news(now).expect("there is a list");
+    assert_eq!(news.changes.len(), 0);
+    // Of a change of most engines, hosts learn from the store.
+    for engine in &mut list {
+        engine.stage = Stage::Prefill;
+    }
+    relay.apply(list, 20, now + seconds(1));
+    let news = relay.news(now + seconds(1)).expect("there is a list");
+    let size = hibiscusspread::connection::codec::encode(&news).map(|bytes| bytes.len());
+    assert!(size.as_ref().is_ok_and(|size| *size < 20 << 10), "{size:?}");
+}
+
 /// Guards against upstreams that a host marked as left because another one answered at their address, and that news from before
 /// brings back.
 #[test]
