Keep a stalled stream while no other engine has room for it

Capacity is now reserved elsewhere before the stream is given up; without any, the host waits on until the deadline.

--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -42,6 +42,8 @@
     retries_taken: u32,
     /// The decode calls that ran or may have run.
     possible_runs: u32,
+    /// The capacity reserved at another engine to continue a stalled stream.
+    resume_capacity: Option<DecodeCapacity>,
 }
 
 /// Runs a generation up to the head of its stream.
@@ -64,6 +66,7 @@
         counted_calls: 0,
         retries_taken: 0,
         possible_runs: 0,
+        resume_capacity: None,
     };
     generation.check_drain_deadline()?;
     let capacity = generation.wait_for_capacity(record).await?;
@@ -235,6 +238,19 @@
         true
     }
 
+    /// Reserves capacity at another engine for `resume_decode`. Returns whether there is any, as far as engines tell before a call.
+    pub async fn reserve_resume(&mut self, record: &mut ForwardRecord) -> bool {
+        if !self.may_try() {
+            return false;
+        }
+        if self.engine.reservation_ttl.is_none() {
+            return true;
+        }
+        let capacity = self.reserve_untried(None, record).await;
+        self.resume_capacity = capacity.filter(|capacity| capacity.reservation.is_some());
+        self.resume_capacity.is_some()
+    }
+
     /// Asks a decode engine to prefill the prompt and generate the stream, after `last_event_id` if given.
     ///
     /// # Errors
@@ -244,7 +260,8 @@
         last_event_id: Option<String>,
         record: &mut ForwardRecord,
     ) -> Result<(Response<UpstreamBody>, Attempt), DecodeFailure> {
-        self.decode(None, None, last_event_id, record).await
+        let capacity = self.resume_capacity.take();
+        self.decode(capacity, None, last_event_id, record).await
     }
 
     /// Asks the engine that holds `capacity` for the stream, or another one if that engine no longer takes it.
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -29,6 +29,14 @@
     last_event_at: Instant,
 }
 
+/// Why reading from the upstream failed.
+enum ReadFailure {
+    /// No whole event came for a while; the engine may still send some.
+    Stalled,
+    /// The stream broke off, or its deadline passed.
+    Ended(String),
+}
+
 /// What the caller gets next.
 enum RelayStep {
     /// Bytes to pass on.
@@ -100,7 +108,16 @@
                     let rest = self.splitter.as_mut().map(EventSplitter::finish);
                     return RelayStep::End(rest.unwrap_or_default());
                 }
-                Err(cause) => cause,
+                Err(ReadFailure::Stalled) => {
+                    if !self.generation.reserve_resume(record).await {
+                        // The engine may be slow but sound, and no other one would do better.
+                        record.note("no event in time; no other engine has room");
+                        self.last_event_at = self.generation.context().clock.now();
+                        continue;
+                    }
+                    "no event in time".to_owned()
+                }
+                Err(ReadFailure::Ended(cause)) => cause,
             };
             if let Some(attempt) = self.attempt.take() {
                 attempt.report_crash(self.generation.call());
@@ -143,17 +160,25 @@
     ///
     /// # Errors
     /// Returns why the stream broke off, or that it stalled.
-    async fn read(&mut self) -> Result<Option<Bytes>, String> {
+    async fn read(&mut self) -> Result<Option<Bytes>, ReadFailure> {
         let cx = self.generation.context();
-        let mut deadline = self.generation.call().deadline;
+        let end = self.generation.call().deadline;
+        let mut deadline = end;
         if self.splitter.is_some() {
             // Bytes that complete no event are no progress.
             deadline = deadline.min(self.last_event_at + cx.settings.stall_timeout);
         }
+        let late = || {
+            if deadline < end {
+                ReadFailure::Stalled
+            } else {
+                ReadFailure::Ended("no event in time".to_owned())
+            }
+        };
         loop {
             // A body that always has bytes ready would never let the timeout pass.
             if cx.clock.now() >= deadline {
-                return Err("no event in time".to_owned());
+                return Err(late());
             }
             match tokio::time::timeout_at(deadline.into(), self.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
@@ -161,9 +186,11 @@
                         return Ok(Some(bytes));
                     }
                 }
-                Ok(Some(Err(e))) => return Err(format!("stream broke off: {e}")),
+                Ok(Some(Err(e))) => {
+                    return Err(ReadFailure::Ended(format!("stream broke off: {e}")));
+                }
                 Ok(None) => return Ok(None),
-                Err(_) => return Err("no event in time".to_owned()),
+                Err(_) => return Err(late()),
             }
         }
     }
--- a/tests/suite/forward_endless.rs
+++ b/tests/suite/forward_endless.rs
@@ -86,6 +86,24 @@
     }
 }
 
+/// Guards against cutting a stream that seems stalled while no other engine has room for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stalled_stream_is_kept_while_no_other_engine_has_room() {
+    let platform = Platform::start_with_reservations().await;
+    set_decode_engines(&platform, Behaviour::PausedEvents);
+    let mut req = platform.request("POST", "/long/1");
+    let patient = "4000".parse().expect("value");
+    req.headers_mut().insert("x-deadline-ms", patient);
+    let calling = platform.send(req);
+    let filling = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        set_decode_engines(&platform, Behaviour::Shed);
+    };
+    let (answer, ()) = tokio::join!(calling, filling);
+    let whole: String = (0..EVENT_COUNT).map(event).collect();
+    assert_eq!((answer.body.as_str(), answer.is_complete), (&*whole, true));
+}
+
 /// Guards against an endless answer of a plain service that fills a host's memory or keeps its caller from another upstream.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endless_answer_of_a_service_is_given_up() {
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -149,6 +149,9 @@
 /// arrive before the route's timeout.
 const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(450);
 
+/// The pause of `Behaviour::PausedEvents`: longer than the time after which a stream counts as stalled.
+const LONG_PAUSE: Duration = Duration::from_millis(1800);
+
 /// How an upstream treats the requests that it gets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Behaviour {
@@ -184,6 +187,8 @@
     Trickle,
     /// Its stream is whole, with long pauses between events.
     SlowEvents,
+    /// Its stream is whole, with one pause that looks like a stall.
+    PausedEvents,
 }
 
 /// A request as an upstream received it.
@@ -271,13 +276,14 @@
             chunks.push(Ok(Frame::data(Bytes::from(PARTIAL_EVENT))));
             chunks.push(Err(std::io::Error::other("crashed")));
         }
-        let pause = if behaviour == Behaviour::SlowEvents {
-            SLOW_EVENT_PAUSE
-        } else {
-            Duration::from_millis(2)
+        let pause = move |no: usize| match behaviour {
+            Behaviour::SlowEvents => SLOW_EVENT_PAUSE,
+            Behaviour::PausedEvents if no == 3 => LONG_PAUSE,
+            _ => Duration::from_millis(2),
         };
-        let paced = stream::iter(chunks).then(move |chunk| async move {
-            tokio::time::sleep(pause).await;
+        let chunks = stream::iter(chunks.into_iter().enumerate());
+        let paced = chunks.then(move |(no, chunk)| async move {
+            tokio::time::sleep(pause(no)).await;
             chunk
         });
         self.sign(req, answer_stream(paced))
