--- a/tests/suite/forward_relays.rs
+++ b/tests/suite/forward_relays.rs
@@ -18,6 +18,7 @@
 
 use crate::forward_fleet::{decode_instance, report};
 use crate::forward_relay_fleet::{ROUND, RelayFleet};
+use crate::forward_usage::customer_with;
 
 /// The most datagrams that a host may send and receive a second, on average.
 const MAX_MEAN_DATAGRAMS: f64 = 40.0;
@@ -166,14 +167,7 @@
 const OVERRUN: u64 = (RATE * 8 + BURST) / 10 + 190_000;
 
 fn customer() -> ForwardCustomer {
-    ForwardCustomer {
-        id: "coast".into(),
-        priority: None,
-        rate: RATE,
-        burst: BURST,
-        charges_tokens: true,
-        default_cost: 200,
-    }
+    customer_with(RATE, BURST)
 }
 
 /// A reproducible sequence of numbers, uniformly distributed from 0 to 1.
--- a/tests/suite/forward_usage.rs
+++ b/tests/suite/forward_usage.rs
@@ -28,17 +28,22 @@
     }
 }
 
-fn customer() -> ForwardCustomer {
+/// A customer whose requests are charged by the tokens that they state.
+pub fn customer_with(rate: Tokens, burst: Tokens) -> ForwardCustomer {
     ForwardCustomer {
         id: "coast".into(),
         priority: None,
-        rate: RATE,
-        burst: BURST,
+        rate,
+        burst,
         charges_tokens: true,
         default_cost: 200,
     }
 }
 
+fn customer() -> ForwardCustomer {
+    customer_with(RATE, BURST)
+}
+
 fn tracker(initial_level: f64) -> UsageTracker {
     UsageTracker::new(UsageSettings {
         initial_level,
