Log how a host learned of a configuration version

The line 'version N in force' now says whether the version was watched, or read and why, and how long before the store answered last. Reads are counted by cause. No decision changes; the watch of the configuration moves to a file of its own.

--- a/src/process/forwarding/store_watchers.rs
+++ b/src/process/forwarding/store_watchers.rs
@@ -1,6 +1,8 @@
 //! The tasks that keep this host registered in the platform's store and follow the configuration, the upstreams and the other
 //! hosts there.
 
+mod configuration;
+
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -20,13 +22,6 @@
 /// The prefix of the keys under which hosts register.
 const HOST_PREFIX: &str = "hosts/";
 
-/// The time for which another host may have a newer version in force before this one reads the configuration again, instead of
-/// waiting for its watch.
-const MAX_VERSION_LAG: Duration = Duration::from_millis(250);
-
-/// The time between two checks whether a host that reads the store only on others' news still hears them.
-const NEWS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
 /// The longest time that a host waits before it reads the list of upstreams because the news of it was incomplete. The news of
 /// another relay may be complete, and hosts that miss the same change should not all read at once.
 const MAX_INCOMPLETE_DELAY: Duration = Duration::from_millis(400);
@@ -94,81 +89,6 @@
 }
 
 impl StoreWatchers {
-    /// Reads and watches the configuration until dropped.
-    pub async fn watch_configuration(&self) {
-        let mut backoff = Backoff::new("configuration", &self.settings);
-        let key = self.codec.configuration_key();
-        loop {
-            let listed = match self.store.list_as_of(key).await {
-                Ok(listed) => listed,
-                Err(e) => {
-                    backoff.failed(&e).await;
-                    continue;
-                }
-            };
-            backoff.succeeded();
-            for entry in listed.value.iter().filter(|entry| entry.key == key) {
-                self.activate(entry);
-            }
-            if self.state.is_config_outdated() {
-                // The other host's version can't be decoded here or was written after this read; reading again at once is no use.
-                tokio::time::sleep(self.settings.max_store_backoff).await;
-            }
-            let mut after = listed.revision;
-            loop {
-                // A watch on a dead connection reports no changes; other hosts' reports show that one was missed.
-                if self.hears_relays() || self.state.is_starting(self.clock.now()) {
-                    let delay = MAX_VERSION_LAG.mul_f64(rand::random());
-                    tokio::select! {
-                        () = self.state.wait_until_outdated(delay) => break,
-                        () = self.state.start_ends() => continue,
-                        () = tokio::time::sleep(NEWS_CHECK_INTERVAL) => continue,
-                    }
-                }
-                let watched = tokio::select! {
-                    watched = self.store.watch_as_of(key, after, self.settings.watch_wait) => watched,
-                    () = self.state.wait_until_outdated(MAX_VERSION_LAG) => break,
-                };
-                match watched {
-                    Ok(changes) => {
-                        backoff.succeeded();
-                        for change in &changes.value {
-                            if let StoreChange::Put(entry) = change
-                                && entry.key == key
-                            {
-                                self.activate(entry);
-                            }
-                        }
-                        after = after.max(changes.revision);
-                    }
-                    Err(StoreError::Compacted) => break,
-                    Err(e) => {
-                        backoff.failed(&e).await;
-                        // A change may have been missed while there was no watch; reading the configuration shows it at once.
-                        break;
-                    }
-                }
-            }
-        }
-    }
-
-    fn activate(&self, entry: &StoreEntry) {
-        match self.codec.read_configuration(&entry.value) {
-            Ok(table) => {
-                let (version, routes) = (table.version, table.route_count());
-                let now = self.clock.now();
-                let customers = table.customers.values().map(|customer| &**customer);
-                self.state.usage.add_customers(customers, now);
-                if self.state.config.advance(table) {
-                    log::info!(target: "config", "version {version} in force: {routes} routes, revision {}", entry.revision);
-                }
-            }
-            Err(e) => {
-                log::error!(target: "config", "configuration at revision {} rejected: {e}", entry.revision);
-            }
-        }
-    }
-
     /// Reads the list of upstreams repeatedly until dropped.
     pub async fn poll_upstreams(&self) {
         let mut backoff = Backoff::new("list of upstreams", &self.settings);
