Notice silent watches of the configuration within 1.5 s

Cause, in the class of waits that are bounded by a timer of their own instead of by what the waiter must achieve: each host learns of a version from its own watch, which waits 12 s and was given up 1.5 s later, or from the number in another host's report. When the open connections of all hosts to the store fall silent while new ones work, which the platform's pages describe, nobody hears of a version, so no report names one. Until the first watch times out, up to 13.5 s, all hosts serve the version before.

Evidence: a new test without network, in simulated time: nine hosts with the real watcher tasks and reports; all open calls fall silent, a version is written 0.5 s later. On the code before, all nine hosts were behind 3 s after the silence.

Change: the three first live hosts by rank, in a large fleet the first relay of each data centre, end their watches after 1 s and give an unanswered one up 0.5 s later. They read again on a new connection and report what they find; the others read on that news, each on a new connection. More hosts need not do it, as each watch is a call that is charged for.

--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -289,16 +289,16 @@
 
     /// Returns whether another host has a newer configuration version in force.
     pub fn is_config_outdated(&self) -> bool {
-        *self.newest_version.borrow() > self.config.current().version
+        self.newest_peer_version() > self.config.current().version
     }
 
-    /// Waits until this host has missed a newer configuration version, which another host has in force, for `delay`.
-    pub async fn wait_until_outdated(&self, delay: Duration) {
+    /// Waits until another host reports a version above `heard` that this host has still not in force after `delay`.
+    pub async fn wait_for_newer_version(&self, heard: Version, delay: Duration) {
         let mut newest = self.newest_version.subscribe();
         loop {
-            let own = self.config.current().version;
+            let known = heard.max(self.config.current().version);
             // The sender lives as long as `self`.
-            let _ = newest.wait_for(|newest| *newest > own).await;
+            let _ = newest.wait_for(|newest| *newest > known).await;
             tokio::time::sleep(delay).await;
             if self.is_config_outdated() {
                 return;
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -417,6 +417,17 @@
         self.role != Role::Member && !live.any(is_before)
     }
 
+    /// Returns whether fewer than `count` live hosts rank before `own`, in the fleet or, at a relay, in its data centre.
+    pub fn is_among_first(&self, own: &Registration, count: usize, now: Instant) -> bool {
+        let own_rank = relay_rank(&own.host, own.capacity);
+        let is_before = |(id, peer): &(&HostId, &Peer)| {
+            peer.is_live(now)
+                && (self.role != Role::Relay || peer.data_centre == own.data_centre)
+                && relay_rank(id, peer.capacity) < own_rank
+        };
+        self.peers.iter().filter(is_before).count() < count
+    }
+
     /// Returns the number of other hosts that are live.
     pub fn live_count(&self, now: Instant) -> usize {
         let live = self.peers.values().filter(|peer| peer.is_live(now));
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -34,6 +34,12 @@
     /// The time for which a watch waits for a change. A dead connection is noticed only when the watch ends, or when another host
     /// reports a change that this one missed.
     pub watch_wait: Duration,
+    /// The time for which the watches of the first hosts wait. They hear of a change although the open connections of all hosts
+    /// are dead, and report it to the others.
+    pub sentinel_watch_wait: Duration,
+    /// The number of these hosts; some of them may be cut off from the store. In a large fleet, the first relay of each data
+    /// centre is one.
+    pub config_sentinels: usize,
     /// The time to wait after a failed store call; doubles with each further one up to `max_store_backoff`.
     pub store_backoff: Duration,
     /// The upper bound of that time.
@@ -83,6 +89,8 @@
             host_list_interval: Duration::from_secs(10),
             second_host_list_delay: Duration::from_millis(1500),
             watch_wait: Duration::from_secs(12),
+            sentinel_watch_wait: Duration::from_secs(1),
+            config_sentinels: 3,
             store_backoff: Duration::from_millis(200),
             max_store_backoff: Duration::from_millis(1500),
             registration_ttl: Duration::from_secs(15),
--- a/src/process/forwarding/store_watchers/configuration.rs
+++ b/src/process/forwarding/store_watchers/configuration.rs
@@ -5,6 +5,7 @@
 
 use super::{Backoff, StoreWatchers};
 use crate::prelude::*;
+use crate::process::forwarding::relays::Role;
 use crate::process::metrics;
 
 /// The time for which another host may have a newer version in force before this one reads the configuration again, instead of
@@ -68,6 +69,8 @@
         let mut answered_at: Option<Instant> = None;
         loop {
             ::metrics::counter!(metrics::CONFIG_READS, "cause" => cause.as_str()).increment(1);
+            // A version reported before a read and not found by it can't be read here; reading it again is no use.
+            let heard = self.state.newest_peer_version();
             let listed = match self.store.list_as_of(key).await {
                 Ok(listed) => listed,
                 Err(e) => {
@@ -81,24 +84,20 @@
             for entry in listed.value.iter().filter(|entry| entry.key == key) {
                 self.activate(entry, &learned);
             }
-            if self.state.is_config_outdated() {
-                // The other host's version can't be decoded here or was written after this read; reading again at once is no use.
-                tokio::time::sleep(self.settings.max_store_backoff).await;
-            }
             let mut after = listed.revision;
             cause = loop {
-                // A watch on a dead connection reports no changes; other hosts' reports show that one was missed.
                 if self.hears_relays() || self.state.is_starting(self.clock.now()) {
                     let delay = MAX_VERSION_LAG.mul_f64(rand::random());
                     tokio::select! {
-                        () = self.state.wait_until_outdated(delay) => break ReadCause::News,
+                        () = self.state.wait_for_newer_version(heard, delay) => break ReadCause::News,
                         () = self.state.start_ends() => continue,
                         () = tokio::time::sleep(NEWS_CHECK_INTERVAL) => continue,
                     }
                 }
+                // A watch on a dead connection reports no changes; other hosts' reports show that one was missed.
                 let watched = tokio::select! {
-                    watched = self.store.watch_as_of(key, after, self.settings.watch_wait) => watched,
-                    () = self.state.wait_until_outdated(MAX_VERSION_LAG) => break ReadCause::News,
+                    watched = self.store.watch_as_of(key, after, self.watch_wait()) => watched,
+                    () = self.state.wait_for_newer_version(heard, MAX_VERSION_LAG) => break ReadCause::News,
                 };
                 match watched {
                     Ok(changes) => {
@@ -124,6 +123,21 @@
         }
     }
 
+    /// Returns the time for which the next watch waits. Only some hosts end their watches early, because each watch is a call.
+    fn watch_wait(&self) -> Duration {
+        let settings = &self.settings;
+        let peers = self.state.peers();
+        let count = match peers.role() {
+            Role::Direct | Role::Member => settings.config_sentinels,
+            Role::Relay => 1,
+        };
+        if peers.is_among_first(&self.registration, count, self.clock.now()) {
+            settings.sentinel_watch_wait.min(settings.watch_wait)
+        } else {
+            settings.watch_wait
+        }
+    }
+
     /// Records that the store has answered a read or, without one, a watch.
     fn learned(&self, read: Option<ReadCause>, answered_at: &mut Option<Instant>) -> Learned {
         let now = self.clock.now();
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -15,6 +15,7 @@
 mod engine_fleet;
 mod fixtures;
 mod fleet_limits;
+mod forward_config_freshness;
 mod forward_connections;
 mod forward_endless;
 mod forward_fleet;
