End a pause of the configuration watcher on news of a newer version

Callers of one host could be handled by an older version for longer than the bound after the store was back.

Cause, of the same class as the silent watch: after a failed call the watcher slept up to 1.95 s and heard neither the store nor the reports of other hosts; the call before could wait 1.5 s for its time limit, so a host was up to 3.45 s behind the store's return, where 3 s are allowed. After a read that another host's report had overtaken it slept 1.5 s without a watch.

Change: a report of a newer version than the one known before the call ends the pause, once for each version. A host whose read was overtaken watches on, as only a later report calls for another read. The longest pause is 1 s, so that a host without others keeps the bound too.

--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -42,7 +42,8 @@
     pub config_sentinels: usize,
     /// The time to wait after a failed store call; doubles with each further one up to `max_store_backoff`.
     pub store_backoff: Duration,
-    /// The upper bound of that time.
+    /// The upper bound of that time. With the time limit of a call that has waited in vain, it must stay below the time after an
+    /// outage of the store from which a configuration must be in force.
     pub max_store_backoff: Duration,
     /// The time to live of this host's registration, which is renewed after each half of it.
     pub registration_ttl: Duration,
@@ -92,7 +93,7 @@
             sentinel_watch_wait: Duration::from_secs(1),
             config_sentinels: 3,
             store_backoff: Duration::from_millis(200),
-            max_store_backoff: Duration::from_millis(1500),
+            max_store_backoff: Duration::from_secs(1),
             registration_ttl: Duration::from_secs(15),
             relay_list_spread: Duration::from_millis(1200),
             member_list_spread: Duration::from_secs(2),
--- a/src/process/forwarding/store_watchers.rs
+++ b/src/process/forwarding/store_watchers.rs
@@ -68,7 +68,13 @@
         }
     }
 
+    /// Records a failed call and waits until the next one.
     async fn failed(&mut self, error: &StoreError) {
+        tokio::time::sleep(self.pause(error)).await;
+    }
+
+    /// Records a failed call and returns the time until the next one.
+    fn pause(&mut self, error: &StoreError) -> Duration {
         if !std::mem::replace(&mut self.is_failing, true) {
             log::warn!(target: "store", "{} unavailable: {error}; the last known state stays in force", self.what);
         }
@@ -77,7 +83,7 @@
             _ => self.next,
         };
         self.next = (self.next * 2).min(self.max);
-        tokio::time::sleep(wait.mul_f64(rand::random_range(0.7..1.3))).await;
+        wait.mul_f64(rand::random_range(0.7..1.3))
     }
 
     fn succeeded(&mut self) {
--- a/src/process/forwarding/store_watchers/configuration.rs
+++ b/src/process/forwarding/store_watchers/configuration.rs
@@ -74,8 +74,7 @@
             let listed = match self.store.list_as_of(key).await {
                 Ok(listed) => listed,
                 Err(e) => {
-                    cause = ReadCause::Failure;
-                    backoff.failed(&e).await;
+                    cause = self.pause_or_news(backoff.pause(&e), heard).await;
                     continue;
                 }
             };
@@ -113,16 +112,22 @@
                         after = after.max(changes.revision);
                     }
                     Err(StoreError::Compacted) => break ReadCause::Compacted,
-                    Err(e) => {
-                        backoff.failed(&e).await;
-                        // A change may have been missed while there was no watch; reading the configuration shows it at once.
-                        break ReadCause::Failure;
-                    }
+                    // A change may have been missed while there was no watch; reading the configuration shows it at once.
+                    Err(e) => break self.pause_or_news(backoff.pause(&e), heard).await,
                 }
             };
         }
     }
 
+    /// Waits for `pause` after a failed call, or until another host reports a version above `heard`, and returns why to read next.
+    /// Each version ends one pause only, so a host that the store turns away does not call it more often for long.
+    async fn pause_or_news(&self, pause: Duration, heard: Version) -> ReadCause {
+        tokio::select! {
+            () = tokio::time::sleep(pause) => ReadCause::Failure,
+            () = self.state.wait_for_newer_version(heard, MAX_VERSION_LAG) => ReadCause::News,
+        }
+    }
+
     /// Returns the time for which the next watch waits. Only some hosts end their watches early, because each watch is a call.
     fn watch_wait(&self) -> Duration {
         let settings = &self.settings;
--- a/tests/suite/forward_config_freshness.rs
+++ b/tests/suite/forward_config_freshness.rs
@@ -219,16 +219,19 @@
         put.await.expect("store accepts")
     }
 
-    /// Makes all open connections to the store silent; new ones work.
-    async fn silence_open_connections(&self) {
+    /// Changes how the connections of all hosts to the store behave.
+    fn set_links(&self, links: Links) {
         for host in &self.hosts {
-            host.links.send_replace(Links::Silent);
+            host.links.send_replace(links);
         }
+    }
+
+    /// Makes all open connections to the store silent; new ones work.
+    async fn silence_open_connections(&self) {
+        self.set_links(Links::Silent);
         // Open calls notice the silence before new ones begin.
         tokio::time::sleep(Duration::from_millis(1)).await;
-        for host in &self.hosts {
-            host.links.send_replace(Links::Sound);
-        }
+        self.set_links(Links::Sound);
     }
 
     /// Delivers a report of each host to all others every 50 ms, for `time`.
@@ -285,3 +288,22 @@
     fleet.run_for(due - Instant::now()).await;
     assert_eq!(fleet.behind(2), [""; 0]);
 }
+
+/// Guards against a host that waits out a pause after failed calls, although the store is back and others have a newer version.
+#[tokio::test(start_paused = true)]
+async fn version_is_in_force_in_time_after_the_store_was_silent() {
+    // A host without others to hear has the shorter pauses only.
+    for hosts in [1, 9] {
+        let mut fleet = Fleet::start(hosts).await;
+        for version in 2..16 {
+            fleet.set_links(Links::Silent);
+            // Long enough for the longest pauses. Calls that begin just before the end fail at their time limit.
+            let silence = Duration::from_millis(9000 + 130 * version);
+            fleet.run_for(silence).await;
+            fleet.put(version).await;
+            fleet.set_links(Links::Sound);
+            fleet.run_for(STABLE_AFTER.max(CONFIG_BOUND)).await;
+            assert_eq!(fleet.behind(version), [""; 0], "version {version}");
+        }
+    }
+}
