Refuse requests with a part of a prompt that crashes engines

Requests of one kind crashed one engine after the other: no two were alike, and they shared one part of their prompts.

Cause: the quarantine recognized equal requests only, by customer, path and body. The class of fault is an identity that is narrower than the fault that it stands for.

The log shows how the request that crashes its engine differs from those beside it: its stream breaks off before the first event ('first_ms=0'), theirs after it.

Change: a host reports the shared parts of such a request like its fingerprint, in the same form. A part is suspected after three crashes in different requests, apart from each other, so that one disruption of several engines counts once. All crashing requests may share sound parts too, so a request is refused only if no suspected part that it lacks explains the crashes. A request that was sent after a crash and ran to its end clears its parts of it. Requests that wait are checked again before they are sent, and before a stream is resumed. Suspected parts are stored in the platform's store with a lease of 5 min, as long as they are refused after their last crash, so that hosts that start refuse them too; a part that is cleared is deleted.

--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -20,7 +20,7 @@
 use crate::process::forwarding::usage::UsageTracker;
 use crate::process::message::CrashReport;
 use crate::process::metrics;
-use crate::process::quarantine::CrashTable;
+use crate::process::quarantine::{CrashTable, PartTable};
 use crate::process::shard::lock;
 use crate::version::cell::VersionCell;
 use crate::version::forwarding::ForwardingTable;
@@ -28,6 +28,9 @@
 /// The number of fingerprints of crashing requests that are kept.
 const MAX_CRASH_FINGERPRINTS: usize = 1024;
 
+/// The number of parts of prompts of crashing requests that are kept.
+const MAX_CRASH_PARTS: usize = 1024;
+
 /// The time for which a crash is reported to other hosts; longer than most network partitions between them.
 const CRASH_REPORT_TTL: Duration = Duration::from_secs(3);
 
@@ -47,6 +50,12 @@
     peers: Mutex<PeerTable>,
     /// The crashes by request fingerprint.
     crashes: Mutex<CrashTable>,
+    /// The crashes by part of the prompt.
+    part_crashes: Mutex<PartTable>,
+    /// The parts whose suspicion this host found to begin or end and has not stored yet.
+    part_changes: Mutex<Vec<Digest>>,
+    /// Wakes the task that stores them.
+    parts_changed: tokio::sync::Notify,
     /// The recent crashes, to report them.
     crash_reports: Mutex<RecentNews<CrashReport>>,
     /// Wakes the task that reads the list of upstreams, because other hosts' news of it is incomplete.
@@ -75,6 +84,9 @@
             directory: ShardedLock::new(Directory::new(settings.directory.clone())),
             peers: Mutex::default(),
             crashes: Mutex::new(CrashTable::new(MAX_CRASH_FINGERPRINTS)),
+            part_crashes: Mutex::new(PartTable::new(MAX_CRASH_PARTS)),
+            part_changes: Mutex::default(),
+            parts_changed: tokio::sync::Notify::new(),
             crash_reports: Mutex::new(RecentNews::new(CRASH_REPORT_TTL)),
             list_incomplete: tokio::sync::Notify::new(),
             starts_until: watch::Sender::default(),
@@ -230,12 +242,58 @@
         taken
     }
 
-    /// Records that an upstream broke off while it ran a request, as found within `reach`, and reports it to others.
+    /// Records that an upstream broke off while it ran a request, as found within `reach`, and reports it to others. The report
+    /// names the fingerprint of the request or of a part of its prompt, which are never equal.
     pub fn record_crash(&self, report: &CrashReport, reach: Reach, now: Instant) {
         lock(&self.crashes).record(report, now);
+        let is_suspected = lock(&self.part_crashes).record_crash(report, now);
+        if is_suspected && reach == Reach::Host {
+            self.record_part_change(report.fingerprint);
+        }
         lock(&self.crash_reports).add(report.clone(), reach, now);
     }
 
+    /// Records that an upstream ran a request whose prompt has these parts, sent at `sent_at`, to its end.
+    pub fn record_sound_parts(&self, parts: &[Digest], sent_at: Instant, now: Instant) {
+        for part in parts {
+            let is_cleared = lock(&self.part_crashes).record_sound(part, sent_at, now);
+            if is_cleared {
+                self.record_part_change(*part);
+            }
+        }
+    }
+
+    /// Returns the part of a prompt with `parts` that crashes upstreams.
+    pub fn crashing_part(&self, parts: &[Digest], now: Instant) -> Option<Digest> {
+        lock(&self.part_crashes).refused_part(parts, now)
+    }
+
+    /// Returns the crashes of a part as far as they count, to store them; empty unless the part is suspected.
+    pub fn part_crashes(&self, part: &Digest, now: Instant) -> Vec<(RequestId, UpstreamId)> {
+        lock(&self.part_crashes).crashes_of(part, now)
+    }
+
+    /// Adds a part that was suspected before this host started.
+    pub fn restore_part(&self, part: Digest, crashes: &[(RequestId, UpstreamId)], now: Instant) {
+        lock(&self.part_crashes).restore(part, crashes, now);
+    }
+
+    fn record_part_change(&self, part: Digest) {
+        lock(&self.part_changes).push(part);
+        self.parts_changed.notify_one();
+    }
+
+    /// Waits until this host finds that the suspicion of parts begins or ends, and returns these parts.
+    pub async fn next_part_changes(&self) -> Vec<Digest> {
+        loop {
+            let changes = std::mem::take(&mut *lock(&self.part_changes));
+            if !changes.is_empty() {
+                return changes;
+            }
+            self.parts_changed.notified().await;
+        }
+    }
+
     /// Returns the crashes recently found within `reach`, to report them.
     pub fn recent_crashes(&self, reach: Reach, now: Instant) -> Vec<CrashReport> {
         lock(&self.crash_reports).within(reach, now)
--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -209,7 +209,8 @@
     exchange: &Arc<ReportExchange>,
     stage_controller: StageController,
 ) -> Vec<JoinHandle<()>> {
-    let (configuration, upstreams, registration, hosts) = (
+    let (configuration, upstreams, registration, hosts, crashing_parts) = (
+        watchers.clone(),
         watchers.clone(),
         watchers.clone(),
         watchers.clone(),
@@ -221,6 +222,7 @@
         tokio::spawn(async move { upstreams.poll_upstreams().await }),
         tokio::spawn(async move { registration.keep_registered().await }),
         tokio::spawn(async move { hosts.poll_hosts().await }),
+        tokio::spawn(async move { crashing_parts.keep_crashing_parts().await }),
         tokio::spawn(async move { stage_controller.run().await }),
         tokio::spawn(async move { sender.send_reports().await }),
         tokio::spawn(async move { receiver.receive_reports().await }),
--- a/src/process/forwarding/store_watchers.rs
+++ b/src/process/forwarding/store_watchers.rs
@@ -2,6 +2,7 @@
 //! hosts there.
 
 mod configuration;
+mod crashing_parts;
 
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -2,6 +2,7 @@
 
 mod crash_quarantine;
 mod crash_table;
+mod part_table;
 
 use std::net::SocketAddr;
 
@@ -13,6 +14,7 @@
 
 pub use crash_quarantine::CrashQuarantine;
 pub use crash_table::{CrashTable, FINGERPRINT_TTL, MAX_CRASHES, SAME_CRASH_WINDOW};
+pub use part_table::{COMMON_CAUSE_WINDOW, MIN_PART_CRASHES, PART_TTL, PartTable};
 
 /// Decides whether a request may run, by the crashes that it has caused.
 #[async_trait]
@@ -37,3 +39,9 @@
     parts.extend_from_slice(body);
     hash_parts("hibiscusspread crash fingerprint v1", &parts)
 }
+
+/// Hashes a part of a prompt for `model`: all requests with the part share its crash count, whoever sends them.
+pub fn part_fingerprint(model: &str, part: &str) -> Digest {
+    let parts = [model.as_bytes(), part.as_bytes()];
+    hash_parts("hibiscusspread prompt part fingerprint v1", &parts)
+}
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -168,6 +168,7 @@
             .state
             .loads
             .record_sent(&self.instance, self.call_id, self.sent_at);
+        let is_generation = options.part != CallPart::Prefill;
         let result = self.exchange(call, options).await;
         let now = self.cx.clock.now();
         match &result {
@@ -182,6 +183,9 @@
                 self.cx.transport.close_idle(self.instance.address);
                 if matches!(failure, SendFailure::Broken { .. }) {
                     self.report_crash(call);
+                    if is_generation {
+                        self.report_crashing_parts(call);
+                    }
                 }
                 let is_unreachable = matches!(failure, SendFailure::Unreachable { .. });
                 self.finish(if is_unreachable {
@@ -271,18 +275,30 @@
 
     /// Records that the upstream may have crashed on the request, and reports it to other hosts.
     pub fn report_crash(&self, call: &Call) {
+        self.report_crash_of(call, [call.fingerprint()]);
+    }
+
+    /// Records that the upstream may have crashed on a part of the prompt, and reports it to other hosts. Only a request that has
+    /// got no event can have caused the crash: an engine crashes as it begins to write the answer.
+    pub fn report_crashing_parts(&self, call: &Call) {
+        self.report_crash_of(call, call.part_fingerprints());
+    }
+
+    fn report_crash_of(&self, call: &Call, fingerprints: impl IntoIterator<Item = Digest>) {
         // Callers choose ids of any length; the first 16 bytes of the hash fit into a `RequestId`.
         let hash = blake3::hash(call.head.id.as_bytes());
         let mut request = [0; 16];
         request.copy_from_slice(&hash.as_bytes()[..16]);
-        let report = CrashReport {
-            fingerprint: call.fingerprint(),
-            request: RequestId::from_le_bytes(request),
-            attempt: 1,
-            upstream: self.instance.id.clone(),
-        };
         let now = self.cx.clock.now();
-        self.cx.state.record_crash(&report, Reach::Host, now);
+        for fingerprint in fingerprints {
+            let report = CrashReport {
+                fingerprint,
+                request: RequestId::from_le_bytes(request),
+                attempt: 1,
+                upstream: self.instance.id.clone(),
+            };
+            self.cx.state.record_crash(&report, Reach::Host, now);
+        }
         self.cx.state.request_report();
     }
 
--- a/src/request/forward/call.rs
+++ b/src/request/forward/call.rs
@@ -6,9 +6,10 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use smallvec::SmallVec;
 
 use crate::prelude::*;
-use crate::process::quarantine::fingerprint;
+use crate::process::quarantine::{fingerprint, part_fingerprint};
 use crate::version::forwarding::{ForwardCustomer, ForwardRoute};
 
 /// The token counts that a request states.
@@ -48,6 +49,8 @@
     pub tokens: Option<TokenCounts>,
     /// The model that the upstream must hold; `None` for any.
     pub model: Option<Name>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub shared_parts: SmallVec<[Name; 4]>,
     /// The id of the last event that the caller received of a stream that it resumes.
     pub last_event_id: Option<String>,
 }
@@ -92,6 +95,13 @@
         fingerprint(customer, path, &[self.head.host.as_bytes(), &self.body])
     }
 
+    /// Returns the hashes by which the quarantine recognizes the shared parts of the prompt.
+    pub fn part_fingerprints(&self) -> SmallVec<[Digest; 4]> {
+        let model = self.head.model.as_deref().unwrap_or_default();
+        let parts = self.head.shared_parts.iter();
+        parts.map(|part| part_fingerprint(model, part)).collect()
+    }
+
     /// Returns the priority; 0 is the most urgent.
     pub fn priority(&self) -> u8 {
         let customer = self
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -44,6 +44,9 @@
 /// The `Retry-After` of a host without a configuration. Hosts read the configuration within milliseconds of their start.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The hexadecimal digits of a part's fingerprint in the log.
+const PART_LOG_DIGITS: usize = 16;
+
 /// The route and the customer of an admitted request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Admitted {
@@ -125,12 +128,7 @@
         return Err(Refusal::not_run(RefusalKind::Overloaded, message)
             .with_retry_after(cx.settings.retry_after));
     }
-    if cx.state.is_quarantined(&call.fingerprint(), now) {
-        // The request may be valid, so a status that blames the caller would be wrong.
-        let message = "equal requests crashed their upstreams; don't repeat it";
-        return Err(Refusal::not_run(RefusalKind::Unavailable, message)
-            .with_retry_after(cx.settings.default_deadline));
-    }
+    check_quarantine(cx, call)?;
     let charged = charge(cx, call, record).await?;
     let table = cx.state.config.current();
     let Some(service) = call.route.pick_service(rand::random()) else {
@@ -162,6 +160,32 @@
     response
 }
 
+/// Checks that neither equal requests nor a part of the prompt have crashed too many upstreams.
+///
+/// # Errors
+/// Returns `Unavailable`: the request may be valid, so a status that blames the caller would be wrong.
+pub fn check_quarantine(cx: &ForwardContext, call: &Call) -> Result<(), Refusal> {
+    let now = cx.clock.now();
+    let crashing_part = cx.state.crashing_part(&call.part_fingerprints(), now);
+    let (message, figures) = if cx.state.is_quarantined(&call.fingerprint(), now) {
+        let message = "equal requests crashed their upstreams; don't repeat it";
+        (message, None)
+    } else if let Some(part) = crashing_part {
+        let message =
+            "requests with a part of this prompt crashed their upstreams; don't repeat it";
+        let part = blake3::Hash::from_bytes(part).to_hex();
+        (message, Some(format!("part={}", &part[..PART_LOG_DIGITS])))
+    } else {
+        return Ok(());
+    };
+    let refusal = Refusal::not_run(RefusalKind::Unavailable, message);
+    let refusal = refusal.with_retry_after(cx.settings.default_deadline);
+    Err(match figures {
+        Some(figures) => refusal.with_figures(figures),
+        None => refusal,
+    })
+}
+
 /// Creates the refusal of a request that no upstream served. `possible_runs` counts the attempts that ran or may have run;
 /// `upstream` is what the message calls an upstream, `last` the last failure.
 pub fn unserved_refusal(
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -18,7 +18,9 @@
     Attempt, AttemptFailure, SendOptions, choose_upstream, describe_choice,
 };
 use crate::request::forward::call::{Call, CallPart, TokenCounts};
-use crate::request::forward::flow::{ForwardContext, ForwardResponse, unserved_refusal};
+use crate::request::forward::flow::{
+    ForwardContext, ForwardResponse, check_quarantine, unserved_refusal,
+};
 use crate::request::forward::generation::prefill::PrefilledPrompt;
 use crate::request::forward::generation::reservation::{DecodeCapacity, Reservation};
 use crate::request::forward::record::ForwardRecord;
@@ -70,6 +72,8 @@
     };
     generation.check_drain_deadline()?;
     let capacity = generation.wait_for_capacity(record).await?;
+    // Equal requests may have crashed engines meanwhile.
+    check_quarantine(cx, call)?;
     let mut prompt = if capacity.attempt.includes_prefill() {
         None
     } else {
@@ -141,11 +145,15 @@
         &self.call
     }
 
-    /// Records that the request held its capacity at the decode engine from `since` to now.
-    pub fn record_hold_time(&self, since: Instant) {
-        let held = self.cx.clock.now().saturating_duration_since(since);
-        let queues = &self.cx.state.queues;
-        queues.record_hold_time(&self.service, held, self.output_tokens());
+    /// Records that a decode engine ran the request, sent to it at `sent_at`, to its end.
+    pub fn record_end(&self, sent_at: Instant) {
+        let now = self.cx.clock.now();
+        let state = &self.cx.state;
+        let held = now.saturating_duration_since(sent_at);
+        state
+            .queues
+            .record_hold_time(&self.service, held, self.output_tokens());
+        state.record_sound_parts(&self.call.part_fingerprints(), sent_at, now);
     }
 
     /// Returns whether another decode call may be made before the deadline without repeating a request that must run once.
@@ -283,6 +291,10 @@
             None => self.reserve_untried(prompt.as_deref(), record).await,
         };
         let mut capacity = capacity.ok_or(DecodeFailure::NoEngine)?;
+        if check_quarantine(&self.cx, &self.call).is_err() {
+            record.note("request crashes its engines");
+            return Err(DecodeFailure::NoEngine);
+        }
         if !self.take_retry("decode") {
             record.note("retry budget used up");
             return Err(DecodeFailure::NoEngine);
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -33,8 +33,10 @@
 enum ReadFailure {
     /// No whole event came for a while; the engine may still send some.
     Stalled,
-    /// The stream broke off, or its deadline passed.
-    Ended(String),
+    /// The deadline passed.
+    Late,
+    /// The connection ended or sent what is no stream of events.
+    Broken(String),
 }
 
 /// What the caller gets next.
@@ -91,6 +93,7 @@
 
     async fn next(&mut self, record: &mut ForwardRecord) -> RelayStep {
         loop {
+            let mut is_broken = false;
             let cause = match self.read().await {
                 Ok(Some(bytes)) => {
                     self.record_first_event(record);
@@ -102,7 +105,7 @@
                 }
                 Ok(None) => {
                     if let Some(attempt) = self.attempt.take() {
-                        self.generation.record_hold_time(attempt.sent_at);
+                        self.generation.record_end(attempt.sent_at);
                         attempt.end(CallOutcome::Answered);
                     }
                     let rest = self.splitter.as_mut().map(EventSplitter::finish);
@@ -117,10 +120,17 @@
                     }
                     "no event in time".to_owned()
                 }
-                Err(ReadFailure::Ended(cause)) => cause,
+                Err(ReadFailure::Late) => "no event in time".to_owned(),
+                Err(ReadFailure::Broken(cause)) => {
+                    is_broken = true;
+                    cause
+                }
             };
             if let Some(attempt) = self.attempt.take() {
                 attempt.report_crash(self.generation.call());
+                if is_broken && !self.has_first_event {
+                    attempt.report_crashing_parts(self.generation.call());
+                }
                 attempt.end(CallOutcome::Failed);
             }
             if !self.resume(&cause, record).await {
@@ -172,7 +182,7 @@
             if deadline < end {
                 ReadFailure::Stalled
             } else {
-                ReadFailure::Ended("no event in time".to_owned())
+                ReadFailure::Late
             }
         };
         loop {
@@ -187,7 +197,7 @@
                     }
                 }
                 Ok(Some(Err(e))) => {
-                    return Err(ReadFailure::Ended(format!("stream broke off: {e}")));
+                    return Err(ReadFailure::Broken(format!("stream broke off: {e}")));
                 }
                 Ok(None) => return Ok(None),
                 Err(_) => return Err(late()),
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod cold_start;
 mod config_command;
 mod config_fleet;
+mod crashing_parts;
 mod distribution;
 mod document;
 mod double_failures;
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -189,8 +189,13 @@
     SlowEvents,
     /// Its stream is whole, with one pause that looks like a stall.
     PausedEvents,
+    /// It crashes before the first event of a stream whose prompt has the part `CRASHING_PART`.
+    CrashOnPart,
 }
 
+/// The id of the part of a prompt on which `Behaviour::CrashOnPart` crashes.
+pub const CRASHING_PART: &str = "dead";
+
 /// A request as an upstream received it.
 #[derive(Debug, Clone)]
 pub struct SeenRequest {
@@ -267,6 +272,14 @@
             .get("last-event-id")
             .and_then(|v| v.to_str().ok());
         let first = last.map_or(0, |last| last.parse::<usize>().expect("event id") + 1);
+        let parts = req.headers().get("x-prefix-hash");
+        let has_crashing_part = parts
+            .and_then(|parts| parts.to_str().ok())
+            .is_some_and(|parts| parts.contains(CRASHING_PART));
+        if behaviour == Behaviour::CrashOnPart && has_crashing_part {
+            let crash = [Err(std::io::Error::other("crashed"))];
+            return self.sign(req, answer_stream(stream::iter(crash)));
+        }
         let broken = behaviour == Behaviour::Truncate;
         let end = if broken { first + 3 } else { EVENT_COUNT };
         let mut chunks: Vec<_> = (first..end)
