Take no refusal of an earlier request for the answer to this one

Callers were told 'not run, try again' for requests that an upstream ran (REFUSED), and such a request could run at a second upstream (TWICE), where an upstream wrote an earlier refusal once more on a kept connection.

Cause: an answer that states that the call did not run was believed before its request id was compared.

Evidence: with an upstream whose answer is an earlier refusal, a call that must run once and a stream got 503 'not_run' (two tests, failing before).

Change: the id is compared first. An answer with another id, or a refusal without one, leaves it open whether the call ran. The stand-ins name the request in their refusals, as the platform does.

--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -228,17 +228,17 @@
         let (head, body) = sent.map_err(AttemptFailure::Send)?.into_parts();
         let response_head = cx.codec.read_response(&head);
         let status = head.status;
+        // On a kept connection, what arrives first may be a copy of an earlier answer. Even a refusal then says nothing of this call.
+        let request_id = response_head.request_id.as_deref();
+        if request_id.is_some_and(|id| *id != *call.head.id) {
+            return Err(AttemptFailure::broken("answer to another request"));
+        }
+        if request_id.is_none() && (expects_signature || response_head.not_run) {
+            return Err(AttemptFailure::broken("answer without a request id"));
+        }
         if response_head.not_run {
             return Err(AttemptFailure::from_refusal(cx, &self.instance, &head));
         }
-        match &response_head.request_id {
-            Some(id) if **id == *call.head.id => {}
-            Some(_) => return Err(AttemptFailure::broken("answer to another request")),
-            None if expects_signature => {
-                return Err(AttemptFailure::broken("answer without a request id"));
-            }
-            None => {}
-        }
         // Callers take these statuses to mean that the request did not run, which this response doesn't state.
         let promises_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
         let is_unsigned = expects_signature && !response_head.is_signed;
--- a/tests/suite/forward_path.rs
+++ b/tests/suite/forward_path.rs
@@ -108,6 +108,7 @@
     for behaviour in [
         Behaviour::LoseAnswer,
         Behaviour::VagueRefusal,
+        Behaviour::StaleRefusal,
         Behaviour::OtherId,
         Behaviour::Unsigned,
         Behaviour::Truncate,
@@ -125,6 +126,19 @@
     }
 }
 
+/// Guards against a stream that runs at a second engine because an earlier refusal arrived in place of its answer, and against telling
+/// the caller that it did not run.
+#[tokio::test]
+async fn stale_refusal_says_nothing_of_a_stream() {
+    let platform = Platform::start().await;
+    for id in ["d-0", "d-1"] {
+        platform.upstream(id).set_behaviour(Behaviour::StaleRefusal);
+    }
+    let answer = platform.call("POST", "/text/1").await;
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert_eq!(platform.seen_by("d").len(), 1);
+}
+
 /// Guards against giving up on a call that certainly did not run.
 #[tokio::test]
 async fn refused_call_goes_to_another_upstream() {
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -161,6 +161,8 @@
     Shed,
     /// It refuses them without stating that they did not run.
     VagueRefusal,
+    /// It runs them, but the refusal of an earlier request arrives in place of the response.
+    StaleRefusal,
     /// It runs them and closes the connection without a response.
     LoseAnswer,
     /// It answers with the id of another request.
@@ -354,6 +356,9 @@
                     .headers_mut()
                     .insert(name, value.parse().expect("value"));
             }
+            if let Some(id) = req.headers().get("x-request-id") {
+                response.headers_mut().insert("x-request-id", id.clone());
+            }
             Some(response)
         };
         match behaviour {
@@ -362,6 +367,12 @@
                 return status(503, Some(("x-not-run", "1")));
             }
             Behaviour::VagueRefusal => return status(503, None),
+            Behaviour::StaleRefusal => {
+                let mut refusal = status(503, Some(("x-not-run", "1")))?;
+                let earlier = "earlier".parse().expect("value");
+                refusal.headers_mut().insert("x-request-id", earlier);
+                return Some(refusal);
+            }
             Behaviour::OtherInstance => return status(421, Some(("x-instance-id", "i-other"))),
             Behaviour::LoseAnswer => return None,
             Behaviour::Slow => tokio::time::sleep(SLOW).await,
