Treat a stream that ends inside an event as broken off

The platform's upstreams may now end a stream with its connection, without a length or chunks, so the end of the bytes alone proves nothing.

Cause: the relay took the end of the body for the end of the stream, and passed the incomplete event on as its last bytes.

Change: a stream that ends inside an event, or without any, has broken off: it is resumed where it may be, and cut otherwise. A caller that resumes a stream may have got all of its events before, so such an answer may be empty.

--- a/src/request/forward/events.rs
+++ b/src/request/forward/events.rs
@@ -55,6 +55,11 @@
         }
         Ok(has_ended)
     }
+
+    /// Returns whether the bytes so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.open_bytes > 0
+    }
 }
 
 /// Holds back the beginning of an event until the rest has arrived, so that a stream that breaks off can be
@@ -88,9 +93,9 @@
         self.last_id.as_deref()
     }
 
-    /// Returns the bytes held back, for a stream that ended normally.
-    pub fn finish(&mut self) -> Bytes {
-        self.held.split().freeze()
+    /// Returns whether the bytes so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        !self.held.is_empty()
     }
 
     /// Drops an incomplete event whose rest won't arrive.
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -25,6 +25,8 @@
     splitter: Option<EventSplitter>,
     meter: EventMeter,
     has_first_event: bool,
+    /// Whether the caller has got a whole event of any attempt.
+    has_whole_event: bool,
     /// When the last whole event arrived or, before the first one, when the engine accepted the stream.
     last_event_at: Instant,
 }
@@ -43,8 +45,8 @@
 enum RelayStep {
     /// Bytes to pass on.
     Bytes(Bytes),
-    /// The last bytes of the stream.
-    End(Bytes),
+    /// The whole stream was passed on.
+    End,
     /// The stream broke off and can't be resumed.
     Cut(String),
 }
@@ -63,6 +65,7 @@
             splitter: is_resumable.then(EventSplitter::default),
             meter: EventMeter::default(),
             has_first_event: false,
+            has_whole_event: false,
             last_event_at,
         }
     }
@@ -77,9 +80,9 @@
             let (mut relay, mut record) = open?;
             match relay.next(&mut record).await {
                 RelayStep::Bytes(bytes) => Some((Ok(Frame::data(bytes)), Some((relay, record)))),
-                RelayStep::End(bytes) => {
+                RelayStep::End => {
                     record.finish(Outcome::Answered, status);
-                    Some((Ok(Frame::data(bytes)), None))
+                    None
                 }
                 RelayStep::Cut(cause) => {
                     record.note(&cause);
@@ -103,13 +106,16 @@
                         Err(e) => e.to_string(),
                     }
                 }
-                Ok(None) => {
+                Ok(None) if self.is_whole() => {
                     if let Some(attempt) = self.attempt.take() {
                         self.generation.record_end(attempt.sent_at);
                         attempt.end(CallOutcome::Answered);
                     }
-                    let rest = self.splitter.as_mut().map(EventSplitter::finish);
-                    return RelayStep::End(rest.unwrap_or_default());
+                    return RelayStep::End;
+                }
+                Ok(None) => {
+                    is_broken = true;
+                    "stream ended inside an event or without one".to_owned()
                 }
                 Err(ReadFailure::Stalled) => {
                     if !self.generation.reserve_resume(record).await {
@@ -150,11 +156,23 @@
             (bytes, has_whole_event)
         };
         if has_whole_event {
+            self.has_whole_event = true;
             self.last_event_at = self.generation.context().clock.now();
         }
         Ok(bytes)
     }
 
+    /// Returns whether a stream that ends now is whole. The end of a connection may be the only mark of the end, so it must come between
+    /// two events. A caller that resumes a stream may have got all events before.
+    fn is_whole(&self) -> bool {
+        let is_inside_event = match &self.splitter {
+            Some(splitter) => splitter.is_inside_event(),
+            None => self.meter.is_inside_event(),
+        };
+        let is_resumed = self.generation.call().head.last_event_id.is_some();
+        !is_inside_event && (self.has_whole_event || is_resumed)
+    }
+
     fn record_first_event(&mut self, record: &mut ForwardRecord) {
         if std::mem::replace(&mut self.has_first_event, true) {
             return;
--- a/tests/suite/forward_connections.rs
+++ b/tests/suite/forward_connections.rs
@@ -73,6 +73,45 @@
     assert!(opened.is_ok(), "the second call opens a connection");
 }
 
+/// Answers one request without a length or chunks, and ends the connection.
+async fn answer_unframed(listener: &TcpListener, resets: bool) {
+    let (mut socket, _) = listener.accept().await.expect("connection");
+    let mut buf = [0; 4096];
+    let read = socket.read(&mut buf).await.expect("request");
+    assert!(read > 0);
+    let answer = b"HTTP/1.1 200 OK\r\n\r\nwhole body";
+    socket.write_all(answer).await.expect("written");
+    if resets {
+        // The caller reads the answer before the connection is reset.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        socket.set_zero_linger().expect("linger");
+    }
+}
+
+/// Guards against the loss of an answer that ends with its connection, and against one that was reset on the way and looks whole.
+#[tokio::test]
+async fn answer_without_a_length_is_whole_unless_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("address");
+    let transport = PooledTransport(UpstreamPool::new());
+    for resets in [false, true, false] {
+        let limits = SendLimits {
+            connect_timeout: Duration::from_secs(1),
+            deadline: Instant::now() + Duration::from_secs(2),
+            may_reuse_connection: true,
+        };
+        let req = Request::get("/").body(Full::default()).expect("request");
+        let read = async {
+            let response = transport.send(address, req, limits).await.expect("answer");
+            read_whole(&mut response.into_body(), 1024).await
+        };
+        let (read, ()) = tokio::join!(read, answer_unframed(&listener, resets));
+        let whole = read.ok().flatten();
+        let expected = (!resets).then_some(&b"whole body"[..]);
+        assert_eq!(whole.as_deref(), expected, "resets: {resets}");
+    }
+}
+
 /// Guards against a datagram that is no report, too long or cut off and that ends the task which receives reports.
 #[tokio::test]
 async fn foreign_datagrams_are_dropped() {
