Send no work to an upstream that states in its answers that it leaves

An upstream that leaves may say so in all its answers while its registration still says that it is ready.

Cause: the header was not read.

Evidence: with upstreams that state it, each of nine calls reached them (a test, failing without the mark).

Change: the first answer that states it marks the upstream for its present incarnation, whatever the list says later, also in answers to reservations. The entry of such an upstream may lapse and come back, so the mark outlasts it by 10 min. Other hosts hear of it as of any upstream that has left.

--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -101,6 +101,9 @@
     }
 }
 
+/// The time for which an upstream that stated that it leaves is remembered after its entry has gone.
+const LEAVING_TTL: Duration = Duration::from_mins(10);
+
 /// The most changes of the list that a report tells; they fit into a datagram beside the rest of a report.
 const MAX_REPORTED_CHANGES: usize = 128;
 
@@ -149,6 +152,9 @@
     /// The upstreams that were found to have left although they are listed, each with its start in Unix milliseconds and the time.
     /// They get no work until a list that was requested later.
     marked: HashMap<UpstreamId, (u64, Instant)>,
+    /// The upstreams that stated that they leave, each with its start in Unix milliseconds and the time. They get no work although the
+    /// list may go on naming them as ready.
+    leaving: HashMap<UpstreamId, (u64, Instant)>,
     /// The upstreams to report as left: the id, and the start in Unix milliseconds.
     left: RecentNews<(UpstreamId, u64)>,
 }
@@ -174,6 +180,7 @@
             digest: 0,
             changes: VecDeque::new(),
             marked: HashMap::new(),
+            leaving: HashMap::new(),
         }
     }
 
@@ -241,6 +248,11 @@
         self.instances = next;
         self.last_listed = Some(requested_at);
         self.marked.retain(|_, (_, at)| *at >= requested_at);
+        self.leaving.retain(|id, (_, at)| {
+            // The entry of one that leaves may lapse during an outage and come back.
+            let age = requested_at.saturating_duration_since(*at);
+            self.instances.contains_key(id) || age < LEAVING_TTL
+        });
         self.revision = self.revision.max(revision);
         for instance in &change.left {
             let left = (instance.id.clone(), instance.born);
@@ -364,6 +376,18 @@
         true
     }
 
+    /// Records that an upstream stated that it leaves: it gets no more work in its present incarnation. Returns whether this host did not
+    /// know of it.
+    pub fn mark_leaving(&mut self, id: &UpstreamId, born: u64, now: Instant) -> bool {
+        let before = self.leaving.insert(id.clone(), (born, now));
+        if before.is_some_and(|(known, _)| known == born) {
+            return false;
+        }
+        self.mark_left(id, born, Reach::Host, now);
+        self.rebuild_index();
+        true
+    }
+
     /// Returns the upstreams that recently left as found within `reach`, each with its start in Unix milliseconds.
     pub fn recently_left(&mut self, reach: Reach, now: Instant) -> Vec<(UpstreamId, u64)> {
         self.left.within(reach, now)
@@ -395,10 +419,14 @@
         self.instances.is_empty()
     }
 
-    /// Returns whether an instance neither drains nor was found to have left.
+    /// Returns whether an instance neither drains, nor leaves, nor was found to have left.
     fn takes_work(&self, instance: &Instance) -> bool {
-        let marked = self.marked.get(&instance.id);
-        !instance.draining && marked.is_none_or(|(born, _)| *born != instance.born)
+        let mut marks = [&self.marked, &self.leaving].into_iter();
+        let is_marked = marks.any(|marked| {
+            let mark = marked.get(&instance.id);
+            mark.is_some_and(|(born, _)| *born == instance.born)
+        });
+        !instance.draining && !is_marked
     }
 
     /// Returns a digest of all instances that does not depend on their order.
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -213,6 +213,15 @@
         self.request_report();
     }
 
+    /// Records that an upstream stated that it leaves, and reports it to the other hosts.
+    pub fn mark_leaving(&self, instance: &Instance, now: Instant) {
+        let is_new = self.change_directory(|d| d.mark_leaving(&instance.id, instance.born, now));
+        if is_new {
+            log::info!(target: "upstream", "upstream {} states that it leaves; it gets no new work", instance.id);
+            self.request_report();
+        }
+    }
+
     fn change_directory<T>(&self, change: impl FnOnce(&mut Directory) -> T) -> T {
         change(
             &mut self
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -88,6 +88,15 @@
     answering.filter(|id| **id != *instance.id)
 }
 
+/// Applies what the head of an answer of `instance` says of the instance itself.
+pub fn apply_instance_state(cx: &ForwardContext, instance: &Instance, head: &response::Parts) {
+    let response = cx.codec.read_response(head);
+    let is_intended = response.upstream.is_none_or(|id| *id == *instance.id);
+    if is_intended && response.is_leaving {
+        cx.state.mark_leaving(instance, cx.clock.now());
+    }
+}
+
 /// The options of one attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SendOptions {
@@ -226,6 +235,7 @@
         };
         let sent = cx.transport.send(self.instance.address, req, limits).await;
         let (head, body) = sent.map_err(AttemptFailure::Send)?.into_parts();
+        apply_instance_state(cx, &self.instance, &head);
         let response_head = cx.codec.read_response(&head);
         let status = head.status;
         // On a kept connection, what arrives first may be a copy of an earlier answer. Even a refusal then says nothing of this call.
--- a/src/request/forward/call.rs
+++ b/src/request/forward/call.rs
@@ -163,6 +163,8 @@
     pub is_signed: bool,
     /// Whether the upstream states that the call did not run and won't.
     pub not_run: bool,
+    /// Whether the upstream states that it leaves: it finishes its work and wants no more.
+    pub is_leaving: bool,
     /// The id of the upstream that answered; given if it refused a call intended for another one.
     pub upstream: Option<String>,
 }
--- a/src/request/forward/generation/reservation.rs
+++ b/src/request/forward/generation/reservation.rs
@@ -12,7 +12,9 @@
 use crate::prelude::*;
 use crate::process::forwarding::directory::Instance;
 use crate::process::forwarding::load::CallOutcome;
-use crate::request::forward::attempt::{Attempt, AttemptFailure, unexpected_upstream};
+use crate::request::forward::attempt::{
+    Attempt, AttemptFailure, apply_instance_state, unexpected_upstream,
+};
 use crate::request::forward::call::ReservationRequest;
 use crate::request::forward::flow::ForwardContext;
 use crate::request::forward::transport::{SendFailure, SendLimits, read_whole};
@@ -139,6 +141,7 @@
     };
     let sent = cx.transport.send(engine.address, req, limits).await;
     let (head, mut body) = sent.map_err(AttemptFailure::Send)?.into_parts();
+    apply_instance_state(cx, engine, &head);
     if !head.status.is_success() || unexpected_upstream(cx, engine, &head).is_some() {
         return Err(AttemptFailure::from_refusal(cx, engine, &head));
     }
--- a/tests/suite/forward_path.rs
+++ b/tests/suite/forward_path.rs
@@ -351,6 +351,35 @@
     assert!(platform.seen_by("s-0").is_empty());
 }
 
+/// Guards against new work for an upstream that states in its answers that it leaves, although its registration says that it is ready.
+#[tokio::test]
+async fn upstream_that_states_that_it_leaves_gets_no_new_work() {
+    let platform = Platform::start().await;
+    let set_others = |behaviour| {
+        for id in ["s-1", "d-1"] {
+            platform.upstream(id).set_behaviour(behaviour);
+        }
+    };
+    for id in ["s-0", "d-0"] {
+        platform.upstream(id).set_behaviour(Behaviour::Leave);
+    }
+    let call_both = async || {
+        let booked = platform.call("POST", "/book/1").await;
+        let streamed = platform.call("POST", "/text/1").await;
+        assert_eq!((booked.status, streamed.status), (200, 200));
+    };
+    set_others(Behaviour::Shed);
+    call_both().await;
+    set_others(Behaviour::Run);
+    for _ in 0..8 {
+        // The list of upstreams is read again meanwhile.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        call_both().await;
+    }
+    assert_eq!(platform.seen_by("s-0").len(), 1);
+    assert_eq!(platform.seen_by("d-0").len(), 1);
+}
+
 /// Guards against a stream that is sent to an engine which began to drain while the prompt was prefilled elsewhere.
 #[tokio::test]
 async fn engine_that_leaves_during_the_prefill_is_not_used() {
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -185,6 +185,8 @@
     Slow,
     /// It never answers.
     Hang,
+    /// It runs them and states that it leaves, while its registration says that it is ready.
+    Leave,
     /// It refuses streams whose prompt was prefilled elsewhere, as an engine does that can't fetch the prompt.
     LosePrompt,
     /// Its stream has events without end.
@@ -328,6 +330,9 @@
 
     fn sign(&self, req: &BufferedRequest, mut response: Response<Body>) -> Response<Body> {
         let headers = response.headers_mut();
+        if *lock(&self.behaviour) == Behaviour::Leave {
+            headers.insert("server-leaving", "1".parse().expect("value"));
+        }
         if let Some(id) = req.headers().get("x-request-id") {
             headers.insert("x-request-id", id.clone());
         }
