Send no call to an upstream for the time that it asks for

An upstream that turns a request away with 503 may state in Retry-After for how long it wants nothing from that host.

Cause: the header was not read; a refusal only moved the upstream behind others for a moment, and it was still tried last.

Evidence: with all upstreams asking for 1.5 s, a booking reached one four times within half a second (a test, failing without the filter).

Change: such an upstream is no candidate until the time is over, for this host alone and its present incarnation, 5 min at most. The state that an answer tells of its upstream is applied in one place, for attempts and reservations.

--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -108,6 +108,8 @@
     /// The calls in a row that were refused because the upstream was full.
     refusals: u32,
     blocked_until: Option<Instant>,
+    /// The time until which the upstream wants no call from this host.
+    paused_until: Option<Instant>,
     last_contact: Option<Instant>,
     /// The moving average of the time that one unit of work takes, see `LoadView`.
     seconds_per_unit: Option<f64>,
@@ -124,6 +126,8 @@
     pub unanswered: Duration,
     /// Whether it should get no work for now, because calls failed or were refused.
     pub is_blocked: bool,
+    /// Whether it wants no call from this host for now.
+    pub is_paused: bool,
     /// Whether its data centre is unreachable, as far as this host knows.
     pub is_cut_off: bool,
     /// The average seconds per token of a prefill, per plain call, or to the first event of a generation; `None` if not measured.
@@ -165,6 +169,9 @@
 /// The upper bound of that time.
 const MAX_FULL_BLOCK: Duration = Duration::from_millis(1500);
 
+/// The longest time for which an upstream can turn this host away, so that a faulty one does not for good.
+const MAX_PAUSE: Duration = Duration::from_mins(5);
+
 /// The time for which an engine is blocked that had no memory to reserve: half of the time until a full engine finishes its
 /// next request.
 const NO_MEMORY_BLOCK: Duration = Duration::from_millis(200);
@@ -329,6 +336,14 @@
         self.report_unhealthy(instance, rest, now);
     }
 
+    /// Sends no call to an upstream for `rest`, at most `MAX_PAUSE`, as it asked of this host.
+    pub fn pause(&self, instance: &Instance, rest: Duration, now: Instant) {
+        let until = now + rest.min(MAX_PAUSE);
+        self.with_load(instance, |load| {
+            load.paused_until = load.paused_until.max(Some(until));
+        });
+    }
+
     fn report_unhealthy(&self, instance: &Instance, rest: Duration, now: Instant) {
         let report = UnhealthyReport {
             upstream: instance.id.clone(),
@@ -425,6 +440,7 @@
                 others,
                 unanswered: oldest.unwrap_or_default(),
                 is_blocked: load.blocked_until.is_some_and(|until| until > now),
+                is_paused: load.paused_until.is_some_and(|until| until > now),
                 is_cut_off,
                 seconds_per_unit: load.seconds_per_unit,
             }
@@ -469,6 +485,7 @@
             load.failures = 0;
             load.refusals = 0;
             load.blocked_until = None;
+            load.paused_until = None;
             load.seconds_per_unit = None;
         }
         act(load)
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -92,8 +92,15 @@
 pub fn apply_instance_state(cx: &ForwardContext, instance: &Instance, head: &response::Parts) {
     let response = cx.codec.read_response(head);
     let is_intended = response.upstream.is_none_or(|id| *id == *instance.id);
-    if is_intended && response.is_leaving {
-        cx.state.mark_leaving(instance, cx.clock.now());
+    if !is_intended {
+        return;
+    }
+    let now = cx.clock.now();
+    if response.is_leaving {
+        cx.state.mark_leaving(instance, now);
+    }
+    if let Some(rest) = response.retry_after {
+        cx.state.loads.pause(instance, rest, now);
     }
 }
 
@@ -364,7 +371,7 @@
             instance: instance.clone(),
             load: cx.state.loads.view(instance, now),
         })
-        .filter(accept)
+        .filter(|candidate| !candidate.load.is_paused && accept(candidate))
         .collect();
     let chosen = cx.selection.choose(requirements, &candidates)?;
     candidates.into_iter().nth(chosen)
--- a/src/request/forward/call.rs
+++ b/src/request/forward/call.rs
@@ -165,6 +165,8 @@
     pub not_run: bool,
     /// Whether the upstream states that it leaves: it finishes its work and wants no more.
     pub is_leaving: bool,
+    /// The time for which the upstream wants no call from this host, if it turned this one away and said so.
+    pub retry_after: Option<Duration>,
     /// The id of the upstream that answered; given if it refused a call intended for another one.
     pub upstream: Option<String>,
 }
--- a/tests/suite/forward_path.rs
+++ b/tests/suite/forward_path.rs
@@ -1,6 +1,6 @@
 //! Forwarded requests from end to end, against stand-ins that speak the platform's protocol.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::platform_stand_in::{
     Behaviour, EVENT_COUNT, HOST, KEY, Platform, configuration, event, wait_until,
@@ -380,6 +380,32 @@
     assert_eq!(platform.seen_by("d-0").len(), 1);
 }
 
+/// Guards against calls to an upstream that turned the host away for a time, and against passing it by after that time.
+#[tokio::test]
+async fn upstream_gets_no_call_while_it_wants_none() {
+    let platform = Platform::start().await;
+    for id in ["s-0", "s-1", "d-0", "d-1"] {
+        platform
+            .upstream(id)
+            .set_behaviour(Behaviour::ShedForSeconds);
+    }
+    let book = async || platform.call("POST", "/book/1").await.status;
+    let stream = async || platform.call("POST", "/text/1").await.status;
+    assert_eq!((stream().await, book().await), (503, 503));
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_millis(500) {
+        assert_eq!(book().await, 503);
+        // A stream may wait for an engine.
+        let _ = tokio::time::timeout(Duration::from_millis(200), stream()).await;
+    }
+    for id in ["s-0", "s-1", "d-0", "d-1"] {
+        assert_eq!(platform.seen_by(id).len(), 1, "{id}");
+        platform.upstream(id).set_behaviour(Behaviour::Run);
+    }
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert_eq!((stream().await, book().await), (200, 200));
+}
+
 /// Guards against a stream that is sent to an engine which began to drain while the prompt was prefilled elsewhere.
 #[tokio::test]
 async fn engine_that_leaves_during_the_prefill_is_not_used() {
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -159,6 +159,8 @@
     Run,
     /// It refuses them and states that they did not run.
     Shed,
+    /// It refuses them, states that they did not run, and wants no call for `SHED_PAUSE_SECONDS`.
+    ShedForSeconds,
     /// It refuses them without stating that they did not run.
     VagueRefusal,
     /// It runs them, but the refusal of an earlier request arrives in place of the response.
@@ -206,6 +208,9 @@
 /// The id of the part of a prompt on which `Behaviour::CrashOnPart` crashes.
 pub const CRASHING_PART: &str = "dead";
 
+/// The time for which an upstream with `Behaviour::ShedForSeconds` wants no call, in seconds.
+pub const SHED_PAUSE_SECONDS: &str = "1.5";
+
 /// A request as an upstream received it.
 #[derive(Debug, Clone)]
 pub struct SeenRequest {
@@ -348,7 +353,7 @@
 fn may_run(req: &BufferedRequest, behaviour: Behaviour) -> bool {
     let is_own_call = req.method() == http::Method::DELETE || req.uri().path().starts_with("/api/");
     let is_refused = match behaviour {
-        Behaviour::Shed | Behaviour::OtherInstance => true,
+        Behaviour::Shed | Behaviour::ShedForSeconds | Behaviour::OtherInstance => true,
         Behaviour::LosePrompt => req.headers().contains_key("x-kv-source"),
         _ => false,
     };
@@ -369,7 +374,8 @@
         if req.method() == http::Method::DELETE {
             return Some(answer_json(200, &json!({})));
         }
-        if req.uri().path() == "/api/hold-take" && behaviour != Behaviour::Shed {
+        let refuses = matches!(behaviour, Behaviour::Shed | Behaviour::ShedForSeconds);
+        if req.uri().path() == "/api/hold-take" && !refuses {
             return Some(answer_json(
                 200,
                 &json!({ "hold": format!("r-{}", self.id) }),
@@ -390,6 +396,12 @@
         };
         match behaviour {
             Behaviour::Shed => return status(503, Some(("x-not-run", "1"))),
+            Behaviour::ShedForSeconds => {
+                let mut refusal = status(503, Some(("x-not-run", "1")))?;
+                let pause = SHED_PAUSE_SECONDS.parse().expect("value");
+                refusal.headers_mut().insert("retry-after", pause);
+                return Some(refusal);
+            }
             Behaviour::LosePrompt if req.headers().contains_key("x-kv-source") => {
                 return status(503, Some(("x-not-run", "1")));
             }
