Test that odd registrations of another writer are refused one by one

Operators of a similar system saw hosts end, or stop following the list, on one entry with very deep nesting, a number too large or a port out of range. It does not happen here: each entry is decoded by itself, and those that can't be are left out and logged once. The test passes without a change of the code.

--- a/tests/suite/platform_codec.rs
+++ b/tests/suite/platform_codec.rs
@@ -170,6 +170,34 @@
     Some(req.body(()).ok()?.into_parts().0)
 }
 
+/// Guards against an odd entry of another writer that ends the host, or is taken for an upstream.
+#[test]
+fn odd_registrations_are_refused() {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd = [
+        ("models", nested.clone()),
+        ("slots", "99999999999999999999999".to_owned()),
+        ("born", "1e400".to_owned()),
+        ("born", "-1".to_owned()),
+        ("address", "\"10.1.0.9:70000\"".to_owned()),
+        ("address", "\"10.1.0.9:-1\"".to_owned()),
+        ("state", "\"resting\"".to_owned()),
+        ("service", "null".to_owned()),
+    ];
+    for (field, value) in odd {
+        let mut entry = registration();
+        entry.as_object_mut().expect("object").remove(field);
+        let entry = entry.to_string();
+        let text = format!("{{\"{field}\":{value},{}", &entry[1..]);
+        let read = PlatformStateCodec.read_upstream("servers/i-1", text.as_bytes());
+        assert!(read.is_err(), "{field}");
+    }
+    // Fields that are not known here do no harm, whatever they hold.
+    let text = format!("{{\"extra\":{nested},{}", &registration().to_string()[1..]);
+    let read = PlatformStateCodec.read_upstream("servers/i-1", text.as_bytes());
+    assert!(read.is_ok());
+}
+
 proptest! {
     /// Guards against request heads that make the host panic.
     #[test]
