Read the configuration again where news name a version that cannot be read

A host that follows the configuration on relays' news alone would hear of no version after one that can't be read there, such as one that a faulty report names: since the watcher asks for news later than the last read, nothing newer could come.

Evidence: with twelve hosts in a fleet with relays and such a report, the hosts without a watch stayed behind (a test, failing before).

Change: such a host reads again each second while others are ahead of it, as it did before. Hosts with a watch need not.

--- a/src/process/forwarding/store_watchers/configuration.rs
+++ b/src/process/forwarding/store_watchers/configuration.rs
@@ -90,8 +90,13 @@
                     tokio::select! {
                         () = self.state.wait_for_newer_version(heard, delay) => break ReadCause::News,
                         () = self.state.start_ends() => continue,
-                        () = tokio::time::sleep(NEWS_CHECK_INTERVAL) => continue,
+                        () = tokio::time::sleep(NEWS_CHECK_INTERVAL) => {}
                     }
+                    if self.state.is_config_outdated() {
+                        // Without a watch, a version that can be read may follow the one that can't unheard.
+                        break ReadCause::News;
+                    }
+                    continue;
                 }
                 // A watch on a dead connection reports no changes; other hosts' reports show that one was missed.
                 let watched = tokio::select! {
--- a/tests/suite/forward_config_freshness.rs
+++ b/tests/suite/forward_config_freshness.rs
@@ -15,10 +15,12 @@
 use hibiscusspread::prelude::*;
 use hibiscusspread::process::forwarding::fleet::FleetState;
 use hibiscusspread::process::forwarding::peers::{HostReport, Registration};
+use hibiscusspread::process::forwarding::relays::Role;
 use hibiscusspread::process::forwarding::report_exchange::{
     ExchangeSettings, ReportExchange, ReportLink,
 };
 use hibiscusspread::process::forwarding::settings::ForwardingSettings;
+use hibiscusspread::process::forwarding::source::Reach;
 use hibiscusspread::process::forwarding::store_watchers::StoreWatchers;
 
 use crate::fixtures::RuntimeClock;
@@ -156,6 +158,10 @@
 impl Fleet {
     /// Starts `count` hosts, which have version 1 in force and have heard each other.
     async fn start(count: u16) -> Self {
+        Self::start_with(count, ExchangeSettings::default()).await
+    }
+
+    async fn start_with(count: u16, exchange: ExchangeSettings) -> Self {
         let store = MemoryStore::new(RuntimeClock::start());
         let mut fleet = Self {
             store,
@@ -165,14 +171,14 @@
         };
         fleet.put(1).await;
         for no in 0..count {
-            fleet.add_host(no);
+            fleet.add_host(no, exchange.clone());
         }
         fleet.run_for(Duration::from_secs(2)).await;
         assert!(fleet.hosts.iter().all(|host| host.version() == 1));
         fleet
     }
 
-    fn add_host(&mut self, no: u16) {
+    fn add_host(&mut self, no: u16, exchange: ExchangeSettings) {
         let settings = ForwardingSettings::default();
         let state = Arc::new(FleetState::new(&settings));
         let registration = Registration {
@@ -204,7 +210,7 @@
             state,
             clock: RuntimeClock::start(),
             link: Arc::new(NoLink),
-            settings: ExchangeSettings::default(),
+            settings: exchange,
             reported_work: Mutex::default(),
         };
         self.hosts.push(Host { exchange, links });
@@ -265,6 +271,10 @@
         report.sender = exchange.own.clone();
         report.hosts = self.hosts.len();
         report.version = self.hosts[from].version();
+        if exchange.state.peers().role() == Role::Relay {
+            report.reach = Reach::Fleet;
+            report.version = report.version.max(exchange.state.newest_peer_version());
+        }
         report
     }
 
@@ -307,3 +317,25 @@
         }
     }
 }
+
+/// Guards against a host that follows the configuration on news of relays alone and hears of no version after one that it can't read.
+#[tokio::test(start_paused = true)]
+async fn versions_after_one_that_cannot_be_read_are_in_force_in_time() {
+    let exchange = ExchangeSettings {
+        max_direct_hosts: 4,
+        ..ExchangeSettings::default()
+    };
+    let mut fleet = Fleet::start_with(12, exchange).await;
+    let states = fleet.hosts.iter().map(|host| &host.exchange.state);
+    let members = states.filter(|state| state.peers().role() == Role::Member);
+    assert!(members.count() > 0);
+    for host in &fleet.hosts {
+        host.exchange.state.record_peer_version(Version::MAX);
+    }
+    fleet.run_for(Duration::from_secs(4)).await;
+    for version in 2..8 {
+        fleet.put(version).await;
+        fleet.run_for(CONFIG_BOUND).await;
+        assert_eq!(fleet.behind(version), [""; 0], "version {version}");
+    }
+}
