Test a withdrawn key beside silent connections to the store, over sockets

The simulated test of the silent watches has no sockets and a time limit of its own for calls. This one runs a host with the platform's client before the store stand-in; a proxy drops the bytes of the connections that are open and forwards those of new ones.

--- a/tests/suite/forward_config_freshness.rs
+++ b/tests/suite/forward_config_freshness.rs
@@ -1,5 +1,5 @@
 //! How long a confirmed configuration version may take to be in force on all hosts, whatever happens to their connections to the
-//! store. Time is simulated.
+//! store. Time is simulated, but for the test with real connections.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -24,6 +24,8 @@
 use hibiscusspread::process::forwarding::store_watchers::StoreWatchers;
 
 use crate::fixtures::RuntimeClock;
+use crate::platform_stand_in::{Platform, StandIns, configuration};
+use crate::soak_proxy::{LinkMode, Proxy};
 
 /// The time within which a confirmed version must be in force on hosts that nothing disturbs, from the operators' bounds.
 const CONFIG_BOUND: Duration = Duration::from_secs(2);
@@ -339,3 +341,28 @@
         assert_eq!(fleet.behind(version), [""; 0], "version {version}");
     }
 }
+
+/// Guards against the same delay with the platform's client on real connections: a withdrawn key worked until the silent watch was given
+/// up.
+#[tokio::test]
+async fn withdrawn_key_stops_in_time_after_the_connections_to_the_store_fell_silent() {
+    let stand_ins = StandIns::start().await;
+    stand_ins.register_all().await;
+    stand_ins.configure(&configuration(1)).await;
+    let proxy = Proxy::start(stand_ins.store_address).await;
+    let settings = ForwardingSettings {
+        store_address: proxy.address,
+        ..ForwardingSettings::default()
+    };
+    let platform = Platform::start_with(stand_ins, settings).await;
+    platform.wait_ready().await;
+    proxy.set(LinkMode::SilenceOpen);
+    let silent_at = Instant::now();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut document = configuration(2);
+    document["tenants"][0]["apiKeys"] = serde_json::json!(["another"]);
+    platform.configure(&document).await;
+    let due = (Instant::now() + CONFIG_BOUND).max(silent_at + STABLE_AFTER);
+    tokio::time::sleep_until(due).await;
+    assert_eq!(platform.call("GET", "/read/1").await.status, 401);
+}
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -566,7 +566,17 @@
     pub async fn start_unconfigured() -> Self {
         let stand_ins = StandIns::start().await;
         stand_ins.register_all().await;
-        let store_address = stand_ins.store_address;
+        let forwarding = ForwardingSettings {
+            store_address: stand_ins.store_address,
+            watch_wait: Duration::from_millis(500),
+            ..ForwardingSettings::default()
+        };
+        Self::start_with(stand_ins, forwarding).await
+    }
+
+    /// Starts a host that reaches the store of the stand-ins at the address in the settings, with short intervals.
+    pub async fn start_with(stand_ins: StandIns, forwarding: ForwardingSettings) -> Self {
+        let store_address = forwarding.store_address;
         let settings = Settings {
             host: "host-1".into(),
             data_centre: "a".into(),
@@ -578,12 +588,10 @@
             ..Settings::default()
         };
         let forwarding = ForwardingSettings {
-            store_address,
             directory_interval: Duration::from_millis(50),
-            watch_wait: Duration::from_millis(500),
             grace: Duration::from_secs(3),
             drain_delay: Duration::from_millis(200),
-            ..ForwardingSettings::default()
+            ..forwarding
         };
         let outside = platform::connect(store_address);
         let host = ForwardHost::start(settings, forwarding, outside).await;
--- a/tests/suite/soak_proxy.rs
+++ b/tests/suite/soak_proxy.rs
@@ -23,6 +23,8 @@
     DropFromTarget,
     /// Bytes in both directions are dropped.
     DropBoth,
+    /// Bytes of the connections that are open are dropped in both directions, for good; those of new ones are forwarded.
+    SilenceOpen,
     /// Connections are closed, new ones at once.
     Reset,
 }
@@ -37,7 +39,7 @@
 impl LinkMode {
     fn drops(self, direction: Direction) -> bool {
         match self {
-            Self::DropBoth => true,
+            Self::DropBoth | Self::SilenceOpen => true,
             Self::DropToTarget => direction == Direction::ToTarget,
             Self::DropFromTarget => direction == Direction::FromTarget,
             Self::Forward | Self::Delay(_) | Self::Reset => false,
@@ -101,11 +103,12 @@
     if client.set_nodelay(true).is_err() || server.set_nodelay(true).is_err() {
         return;
     }
+    let is_new = *mode.borrow() == LinkMode::SilenceOpen;
     let (client_rx, client_tx) = client.into_split();
     let (server_rx, server_tx) = server.into_split();
     tokio::select! {
-        () = copy(client_rx, server_tx, mode.clone(), Direction::ToTarget) => {}
-        () = copy(server_rx, client_tx, mode.clone(), Direction::FromTarget) => {}
+        () = copy(client_rx, server_tx, mode.clone(), Direction::ToTarget, is_new) => {}
+        () = copy(server_rx, client_tx, mode.clone(), Direction::FromTarget, is_new) => {}
         _ = mode.wait_for(|mode| *mode == LinkMode::Reset) => {}
     }
 }
@@ -115,6 +118,7 @@
     mut to: OwnedWriteHalf,
     mode: watch::Receiver<LinkMode>,
     direction: Direction,
+    is_new: bool,
 ) {
     let mut buf = vec![0; 16 << 10];
     let mut is_dropping = false;
@@ -127,7 +131,8 @@
         if let LinkMode::Delay(delay) = now {
             tokio::time::sleep(delay).await;
         }
-        is_dropping |= now.drops(direction);
+        let is_spared = is_new && now == LinkMode::SilenceOpen;
+        is_dropping |= now.drops(direction) && !is_spared;
         if !is_dropping && to.write_all(&buf[..size]).await.is_err() {
             return;
         }
