Handle SIGHUP from the first moment of a start

Cause: the handlers were installed after the settings had been read and the log had been opened; until then SIGHUP ends a process.

Evidence: a test that holds a host at the reading of its settings and sends SIGHUP; it fails before this change with 'signal: 1 (SIGHUP)'.

Change: the handlers are installed first. A host without [forwarding], which has nothing to reload, ignores SIGHUP too. What remains is the time between the start of the process and its main function.

--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -27,19 +27,20 @@
 /// # Errors
 /// Returns `Usage` for invalid settings and `Failed` if the host can't start.
 pub fn run(path: &Path) -> Result<(), CommandError> {
+    // Until it is handled, SIGHUP ends the process, and it may come while a slow host still reads its settings.
+    let mut signals =
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(failed("signals can't be handled"))?;
     let settings = load_settings(path)?;
     let _logger = logging::start_host(&settings.log_level)?;
     if let Some(forwarding) = settings.forwarding.clone() {
-        return runtime()?.block_on(forward(path, settings, forwarding));
+        return runtime()?.block_on(forward(path, settings, forwarding, signals));
     }
-    let mut signals = Signals::new([SIGTERM, SIGINT])
-        .map_err(|e| CommandError::Failed(format!("signals can't be handled: {e}")))?;
     runtime()?.block_on(async {
         let node = start_node(settings).await?;
         log::info!(address:% = node.callers_address; "serving callers");
         let (tx, rx) = tokio::sync::oneshot::channel();
         std::thread::spawn(move || {
-            let signal = signals.forever().next();
+            let signal = signals.forever().find(|signal| *signal != SIGHUP);
             let _ = tx.send(signal);
         });
         tokio::select! {
@@ -60,9 +61,8 @@
     path: &Path,
     settings: Settings,
     forwarding: ForwardingSettings,
+    mut signals: Signals,
 ) -> Result<(), CommandError> {
-    let mut signals =
-        Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(failed("signals can't be handled"))?;
     let (tx, mut rx) = tokio::sync::mpsc::unbounded_channel();
     std::thread::spawn(move || {
         for signal in signals.forever() {
--- a/tests/suite/processes.rs
+++ b/tests/suite/processes.rs
@@ -311,3 +311,29 @@
     let text = text_of(processes.complete(1, 5).await).await;
     assert_eq!(tokens_in(&text), 5);
 }
+
+/// Guards against a host that a SIGHUP ends while it starts: the signal came before its handler was installed.
+#[test]
+fn reload_signal_does_not_end_a_host_that_starts() {
+    let folder = std::env::temp_dir().join(format!("hibiscusspread-start-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("folder");
+    let settings = folder.join("host.ini");
+    let made = Command::new("mkfifo").arg(&settings).status();
+    assert!(made.expect("mkfifo runs").success());
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hibiscusspread"))
+        .args(["serve", "--settings"])
+        .arg(&settings)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("host starts");
+    // Opening the pipe returns once the host has opened it, and the host waits for its settings until the pipe is closed.
+    let pipe = std::fs::OpenOptions::new().write(true).open(&settings);
+    assert!(signal(&child, "-HUP"));
+    std::thread::sleep(POLL_INTERVAL * 4);
+    drop(pipe.expect("pipe opens"));
+    let status = child.wait().expect("host ends");
+    // Empty settings are refused, which is an exit of the program and no end by a signal.
+    assert!(status.code().is_some(), "{status}");
+    std::fs::remove_dir_all(&folder).expect("folder is removed");
+}
--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -23,7 +23,8 @@
 use crate::soak_proxy::{LinkMode, Proxy};
 
 /// The seeds that run by default: seeds that once failed, each to be added with its cause, and one more.
-const SEEDS: [u64; 1] = [1];
+/// In 21034, SIGHUP ended a host that was starting.
+const SEEDS: [u64; 2] = [1, 21034];
 
 /// The number of hosts.
 const HOSTS: usize = 3;
