--- a/review/common.rs
+++ b/review/common.rs
@@ -35,12 +35,21 @@
     }
 }
 
-/// Ends the script with the status that says that the case could not run.
+/// Ends the script with the status that says that the case could not run. `run.sh` ends the hosts that are left.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("case could not run: {why}");
     std::process::exit(2);
 }
 
+/// Writes down the id of a started process, which `run.sh` ends if this one can't.
+fn write_down(pid: u32) {
+    if let Ok(path) = std::env::var("REVIEW_PIDS")
+        && let Ok(mut file) = File::options().append(true).create(true).open(path)
+    {
+        let _ = writeln!(file, "{pid}");
+    }
+}
+
 // ---------------------------------------------------------------- JSON
 
 #[derive(Debug, Clone, PartialEq)]
@@ -721,6 +730,7 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|e| cannot_run(&format!("target/release/hibiscusspread: {e}")));
+        write_down(child.id());
         Self { name: name.to_owned(), callers, operators, child }
     }
 
