Replace only the HTTP library's own refusals, not bodies that look like them

Cause: `CallerIo` replaces the bare response with which the HTTP library refuses a request that it can't parse, and searched for its text in all bytes that were about to be written. A body that ended a write with such a text matched; where bodies are split between writes depends on timing.

Change: `ResponseFraming` follows the written bytes by their framing and knows which responses of the handler are due. A response that starts while none is due is the library's own; nothing else is replaced. The text of the bytes no longer decides.

The new tests over sockets, on the code before: `passes_on_bodies_that_end_like_a_refusal` fails at its first cut of the body, `refuses_malformed_requests_after_lookalikes` at its first path. Both pass now, as does the generated test of bodies, framings and partial writes.

--- a/src/connection/caller_io.rs
+++ b/src/connection/caller_io.rs
@@ -1,6 +1,8 @@
 //! A caller's socket, with a timeout on stalled writes. Also replaces the bare error responses of the HTTP library by
 //! refusals in JSON.
 
+pub mod response_framing;
+
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -12,8 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+use crate::connection::caller_io::response_framing::{QueuedResponses, ResponseFraming};
 use crate::connection::completion::refusal_json;
-use crate::connection::service::REQUEST_ID_HEADER;
 use crate::prelude::*;
 
 /// A caller's socket with a write timeout and refusals in JSON.
@@ -22,17 +24,20 @@
     timeout: Duration,
     /// The timer of the write timeout, while the caller reads nothing.
     stall_timer: Option<Pin<Box<Sleep>>>,
+    framing: ResponseFraming,
     /// The unsent rest of a refusal that replaces one of the library, and the length of the library's in bytes.
     replacement: Option<(Bytes, usize)>,
 }
 
 impl CallerIo {
-    /// Wraps a socket; a write fails after `timeout` without progress.
-    pub fn new(socket: TcpStream, timeout: Duration) -> Self {
+    /// Wraps a socket; a write fails after `timeout` without progress. `responses` gets each response of the handler before the
+    /// HTTP library writes it.
+    pub fn new(socket: TcpStream, timeout: Duration, responses: QueuedResponses) -> Self {
         Self {
             socket: TokioIo::new(socket),
             timeout,
             stall_timer: None,
+            framing: ResponseFraming::new(responses),
             replacement: None,
         }
     }
@@ -83,12 +88,15 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         if self.replacement.is_none() {
-            match find_library_refusal(buf) {
-                None => return self.poll_write_with_timeout(cx, buf),
-                Some(0) => self.replacement = Some((replacement_refusal(buf), buf.len())),
-                // Writes the earlier response that precedes the refusal; the refusal is replaced by the next call.
-                Some(start) => return self.poll_write_with_timeout(cx, &buf[..start]),
+            let handler_len = self.framing.handler_len(buf);
+            if handler_len > 0 || buf.is_empty() {
+                let outcome = self.poll_write_with_timeout(cx, &buf[..handler_len]);
+                if let Poll::Ready(Ok(written)) = &outcome {
+                    self.framing.record_written(*written);
+                }
+                return outcome;
             }
+            self.replacement = Some((replacement_refusal(buf), buf.len()));
         }
         while let Some((mut rest, replaced_len)) = self.replacement.take() {
             if rest.is_empty() {
@@ -114,19 +122,6 @@
     }
 }
 
-/// Returns the offset at which a refusal by the HTTP library starts in `buf`. The library responds to a request that it
-/// can't parse with a head alone; every response of a handler has a request id.
-fn find_library_refusal(buf: &[u8]) -> Option<usize> {
-    const START: &[u8] = b"HTTP/1.1 4";
-    if !buf.ends_with(b"\r\n\r\n") {
-        return None;
-    }
-    let start = buf.windows(START.len()).rposition(|part| part == START)?;
-    let head = std::str::from_utf8(&buf[start..]).ok()?;
-    let is_bare = head.contains("\r\ncontent-length: 0\r\n") && !head.contains(REQUEST_ID_HEADER);
-    is_bare.then_some(start)
-}
-
 /// Builds the response that replaces the library's `head`, with the same status line.
 fn replacement_refusal(head: &[u8]) -> Bytes {
     let line = head.split(|byte| *byte == b'\r').next().unwrap_or_default();
--- a/src/connection/caller_listener.rs
+++ b/src/connection/caller_listener.rs
@@ -17,6 +17,7 @@
 use tokio::task::JoinSet;
 
 use crate::connection::caller_io::CallerIo;
+use crate::connection::caller_io::response_framing::QueuedResponses;
 use crate::request::forward::transport::UpstreamBody;
 
 /// The body of a response to a caller. An error closes the connection, so that a truncated response never looks
@@ -164,15 +165,23 @@
             log::debug!("failed to set TCP_NODELAY for {peer}: {e}");
         }
         let this = self.clone();
-        let service = service_fn(move |req| {
-            let handler = this.handler.clone();
-            async move { Ok::<_, Infallible>(handler.respond(req).await) }
+        let responses = QueuedResponses::default();
+        let queue = responses.clone();
+        let service = service_fn(move |req: Request<Incoming>| {
+            let (handler, queue) = (this.handler.clone(), queue.clone());
+            async move {
+                let method = req.method().clone();
+                let response = handler.respond(req).await;
+                queue.push(method);
+                Ok::<_, Infallible>(response)
+            }
         });
+        let io = CallerIo::new(socket, self.settings.read_timeout, responses);
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.settings.read_timeout)
             .max_buf_size(self.settings.header_limit.max(8 << 10))
-            .serve_connection(CallerIo::new(socket, self.settings.read_timeout), service);
+            .serve_connection(io, service);
         tokio::pin!(connection);
         // A connection that is opened while draining still gets its first request served.
         let shutdown_phase = if *stop.borrow() == StopPhase::Serving {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod allowance;
 mod attempts;
+mod caller_responses;
 mod callers;
 mod chaos;
 mod cold_start;
