End a stalled stream at its engine before the next engine is asked

A resumable stream that stalls goes on at a second engine while the first one still works on it, for up to 2.5 s, and if the second answer is lost the caller gets nothing more.

Cause: `EventRelay::next` ended the account of the first call, but the connection belonged to the body, which `resume` replaced only when the head of the next response had arrived.

Change: the account and the body of a call are one value, dropped before the next engine is asked; dropping it closes the connection. This covers each way out of `EventRelay::next`: stalled, too long an event, broken, resumed, refused, and no engine left.

--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -16,12 +16,18 @@
 use crate::request::forward::transport::{BodyError, UpstreamBody};
 use crate::version::forwarding::RepeatPolicy;
 
+/// The call to the engine that generates the stream. Dropping it closes the connection, which ends the run at the engine.
+struct OpenCall {
+    attempt: Attempt,
+    body: UpstreamBody,
+}
+
 /// An event stream that is being relayed.
 pub struct EventRelay {
     generation: Generation,
-    attempt: Option<Attempt>,
+    /// `None` while no engine works on the request: after the end of a call, until another engine accepts the rest of the stream.
+    open_call: Option<OpenCall>,
     head: http::response::Parts,
-    body: UpstreamBody,
     splitter: Option<EventSplitter>,
     meter: EventMeter,
     has_first_event: bool,
@@ -59,9 +65,8 @@
         let last_event_at = generation.context().clock.now();
         Self {
             generation,
-            attempt: Some(attempt),
+            open_call: Some(OpenCall { attempt, body }),
             head,
-            body,
             splitter: is_resumable.then(EventSplitter::default),
             meter: EventMeter::default(),
             has_first_event: false,
@@ -107,9 +112,9 @@
                     }
                 }
                 Ok(None) if self.is_whole() => {
-                    if let Some(attempt) = self.attempt.take() {
-                        self.generation.record_end(attempt.sent_at);
-                        attempt.end(CallOutcome::Answered);
+                    if let Some(call) = self.open_call.take() {
+                        self.generation.record_end(call.attempt.sent_at);
+                        call.attempt.end(CallOutcome::Answered);
                     }
                     return RelayStep::End;
                 }
@@ -132,7 +137,8 @@
                     cause
                 }
             };
-            if let Some(attempt) = self.attempt.take() {
+            // The connection closes here, so that no two engines work on the request at once while the next one is asked.
+            if let Some(OpenCall { attempt, .. }) = self.open_call.take() {
                 attempt.report_crash(self.generation.call());
                 if is_broken && !self.has_first_event {
                     attempt.report_crashing_parts(self.generation.call());
@@ -178,9 +184,9 @@
             return;
         }
         record.record_first_part();
-        if let Some(attempt) = &mut self.attempt {
-            attempt.record_duration(1.0);
-            attempt.record_first_event();
+        if let Some(call) = &mut self.open_call {
+            call.attempt.record_duration(1.0);
+            call.attempt.record_first_event();
         }
     }
 
@@ -189,6 +195,9 @@
     /// # Errors
     /// Returns why the stream broke off, or that it stalled.
     async fn read(&mut self) -> Result<Option<Bytes>, ReadFailure> {
+        let Some(call) = &mut self.open_call else {
+            return Err(ReadFailure::Broken("no engine has the stream".to_owned()));
+        };
         let cx = self.generation.context();
         let end = self.generation.call().deadline;
         let mut deadline = end;
@@ -208,7 +217,7 @@
             if cx.clock.now() >= deadline {
                 return Err(late());
             }
-            match tokio::time::timeout_at(deadline.into(), self.body.frame()).await {
+            match tokio::time::timeout_at(deadline.into(), call.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
                         return Ok(Some(bytes));
@@ -242,8 +251,8 @@
                 .await
             {
                 Ok((response, attempt)) if response.status().is_success() => {
-                    self.body = response.into_body();
-                    self.attempt = Some(attempt);
+                    let body = response.into_body();
+                    self.open_call = Some(OpenCall { attempt, body });
                     self.has_first_event = false;
                     self.last_event_at = self.generation.context().clock.now();
                     return true;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -22,6 +22,7 @@
 mod forward_endless;
 mod forward_fleet;
 mod forward_many_choosers;
+mod forward_overlap;
 mod forward_path;
 mod forward_relay_fleet;
 mod forward_relays;
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::ops::Deref;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use base64::Engine as _;
@@ -197,6 +197,10 @@
     EndlessBytes,
     /// Its stream has a byte now and then, and no whole event.
     Trickle,
+    /// Its stream falls silent after three events. It never answers a stream that is resumed.
+    Stall,
+    /// Its stream goes on with bytes without end that are no event, after the first event. It never answers a stream that is resumed.
+    EndlessThenHang,
     /// Its stream is whole, with long pauses between events.
     SlowEvents,
     /// Its stream is whole, with one pause that looks like a stall.
@@ -241,6 +245,72 @@
     id: String,
     behaviour: Mutex<Behaviour>,
     seen: SeenLog,
+    runs: RunLog,
+}
+
+/// A run of a request at an upstream.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// The id of the upstream.
+    pub upstream: String,
+    /// The id of the request.
+    pub request: String,
+    /// When the request arrived.
+    pub began: Instant,
+    /// When the upstream had sent its whole answer or its connection closed; `None` while it works.
+    pub ended: Option<Instant>,
+}
+
+/// The runs at all upstreams of one `StandIns`, by their begin.
+pub type RunLog = Arc<Mutex<Vec<Run>>>;
+
+/// Records the end of a run when it is dropped.
+struct OpenRun {
+    runs: RunLog,
+    index: usize,
+}
+
+impl OpenRun {
+    fn begin(runs: &RunLog, upstream: &str, req: &BufferedRequest) -> Self {
+        let id = req.headers().get("x-request-id");
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let mut log = lock(runs);
+        log.push(Run {
+            upstream: upstream.to_owned(),
+            request: id.to_owned(),
+            began: Instant::now(),
+            ended: None,
+        });
+        Self {
+            runs: runs.clone(),
+            index: log.len() - 1,
+        }
+    }
+}
+
+impl Drop for OpenRun {
+    fn drop(&mut self) {
+        lock(&self.runs)[self.index].ended = Some(Instant::now());
+    }
+}
+
+/// The time after the begin of a run at the next upstream within which the run before must have ended, as the platform requires.
+pub const ALLOWED_OVERLAP: Duration = Duration::from_millis(400);
+
+/// Returns each run that began while another run of its request went on for longer than `ALLOWED_OVERLAP`, after that other run.
+pub fn overlapping_runs(runs: &RunLog) -> Vec<(Run, Run)> {
+    let runs = lock(runs).clone();
+    let now = Instant::now();
+    let mut overlaps = Vec::new();
+    for (no, later) in runs.iter().enumerate() {
+        let overlaps_later = |earlier: &&Run| {
+            let ended = earlier.ended.unwrap_or(now);
+            earlier.request == later.request && ended > later.began + ALLOWED_OVERLAP
+        };
+        let earlier = runs[..no].iter().filter(overlaps_later);
+        overlaps.extend(earlier.map(|earlier| (earlier.clone(), later.clone())));
+    }
+    overlaps
 }
 
 /// The number of events of a whole stream.
@@ -273,7 +343,7 @@
     }
 
     fn stream(&self, req: &BufferedRequest, behaviour: Behaviour) -> Response<Body> {
-        let text = "x".repeat(4096).leak();
+        let text: &'static str = "x".repeat(4096).leak();
         match behaviour {
             Behaviour::EndlessEvents => {
                 return self.endless(req, "id: 1\ndata: again\n\n", Duration::ZERO);
@@ -302,8 +372,9 @@
         }
         let broken = behaviour == Behaviour::Truncate;
         let end = match behaviour {
-            Behaviour::Truncate | Behaviour::EndInEvent => first + 3,
+            Behaviour::Truncate | Behaviour::EndInEvent | Behaviour::Stall => first + 3,
             Behaviour::EndEmpty => first,
+            Behaviour::EndlessThenHang => first + 1,
             _ => EVENT_COUNT,
         };
         let mut chunks: Vec<_> = (first..end)
@@ -330,6 +401,16 @@
             tokio::time::sleep(pause(no)).await;
             chunk
         });
+        if behaviour == Behaviour::Stall {
+            return self.sign(req, answer_stream(paced.chain(stream::pending())));
+        }
+        if behaviour == Behaviour::EndlessThenHang {
+            let endless = stream::repeat(text).then(|text| async move {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+                Ok(Frame::data(Bytes::from_static(text.as_bytes())))
+            });
+            return self.sign(req, answer_stream(paced.chain(endless)));
+        }
         self.sign(req, answer_stream(paced))
     }
 
@@ -364,12 +445,31 @@
 impl Handler for StandInUpstream {
     async fn handle(&self, req: BufferedRequest) -> Option<Response<Body>> {
         let behaviour = *lock(&self.behaviour);
+        let run = may_run(&req, behaviour).then(|| OpenRun::begin(&self.runs, &self.id, &req));
+        let response = self.answer(&req, behaviour).await?;
+        let Some(run) = run else {
+            return Some(response);
+        };
+        // The run ends with the body, which is dropped at its end or when the connection closes.
+        let body = response.map(|body| {
+            let with_run = body.map_frame(move |frame| {
+                let _ = &run;
+                frame
+            });
+            with_run.boxed_unsync()
+        });
+        Some(body)
+    }
+}
+
+impl StandInUpstream {
+    async fn answer(&self, req: &BufferedRequest, behaviour: Behaviour) -> Option<Response<Body>> {
         lock(&self.seen).push(SeenRequest {
             upstream: self.id.clone(),
             request_line: format!("{} {}", req.method(), req.uri()),
             headers: req.headers().clone(),
             body: req.body().clone(),
-            may_have_run: may_run(&req, behaviour),
+            may_have_run: may_run(req, behaviour),
         });
         if req.method() == http::Method::DELETE {
             return Some(answer_json(200, &json!({})));
@@ -394,6 +494,7 @@
             }
             Some(response)
         };
+        let is_resumed = req.headers().contains_key("last-event-id");
         match behaviour {
             Behaviour::Shed => return status(503, Some(("x-not-run", "1"))),
             Behaviour::ShedForSeconds => {
@@ -416,6 +517,9 @@
             Behaviour::LoseAnswer => return None,
             Behaviour::Slow => tokio::time::sleep(SLOW).await,
             Behaviour::Hang => std::future::pending().await,
+            Behaviour::Stall | Behaviour::EndlessThenHang if is_resumed => {
+                std::future::pending::<()>().await;
+            }
             _ => {}
         }
         if req
@@ -430,9 +534,9 @@
             ));
         }
         if req.uri().path().starts_with("/text/") || req.uri().path().starts_with("/long/") {
-            return Some(self.stream(&req, behaviour));
+            return Some(self.stream(req, behaviour));
         }
-        let mut response = self.sign(&req, bytes(Bytes::from(format!("done by {}", self.id))));
+        let mut response = self.sign(req, bytes(Bytes::from(format!("done by {}", self.id))));
         match behaviour {
             Behaviour::OtherId => {
                 let other = "another".parse().expect("value");
@@ -443,7 +547,7 @@
             }
             Behaviour::EndlessBytes => {
                 let text = "x".repeat(4096).leak();
-                return Some(self.endless(&req, text, Duration::ZERO));
+                return Some(self.endless(req, text, Duration::ZERO));
             }
             Behaviour::Fail => *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR,
             Behaviour::Truncate => {
@@ -451,7 +555,7 @@
                     Ok(Frame::data(Bytes::from("half"))),
                     Err(std::io::Error::other("crashed")),
                 ];
-                response = self.sign(&req, answer_stream(stream::iter(parts)));
+                response = self.sign(req, answer_stream(stream::iter(parts)));
             }
             _ => {}
         }
@@ -484,6 +588,8 @@
     pub addresses: Vec<SocketAddr>,
     /// The requests that the upstreams received.
     pub seen: SeenLog,
+    /// The runs at the upstreams.
+    pub runs: RunLog,
     _servers: Vec<EmulatorServer>,
 }
 
@@ -621,10 +727,15 @@
 
     /// Sends a request and reads the whole response.
     pub async fn send(&self, req: Request<Full<Bytes>>) -> Answer {
-        read_answer(send_raw(self.address, req).await).await
+        send(self.address, req).await
     }
 }
 
+/// Sends a request to the host at `address` and reads the whole response.
+pub async fn send(address: SocketAddr, req: Request<Full<Bytes>>) -> Answer {
+    read_answer(send_raw(address, req).await).await
+}
+
 /// Builds a request with the customer's key and a random id.
 pub fn request(method: &str, uri: &str) -> Request<Full<Bytes>> {
     let id = format!("{:016x}", rand::random::<u64>());
@@ -679,13 +790,14 @@
         let api = EmulatorServer::start(any_loopback(), Arc::new(StoreApi(store.clone())));
         let api = api.await.expect("store starts");
         let store_address = api.address();
-        let seen = SeenLog::default();
+        let (seen, runs) = (SeenLog::default(), RunLog::default());
         let (mut upstreams, mut servers, mut addresses) = (Vec::new(), vec![api], Vec::new());
         for (id, _, _) in UPSTREAMS {
             let upstream = Arc::new(StandInUpstream {
                 id: id.to_owned(),
                 behaviour: Mutex::new(Behaviour::Run),
                 seen: seen.clone(),
+                runs: runs.clone(),
             });
             let server = EmulatorServer::start(any_loopback(), upstream.clone()).await;
             let server = server.expect("upstream starts");
@@ -699,6 +811,7 @@
             upstreams,
             addresses,
             seen,
+            runs,
             _servers: servers,
         }
     }
