Don't count a host's own pause as silence of an engine

A host that was paused for longer than the stall timeout moved its resumable streams to other engines when it went on, although their engines had sent events meanwhile; prompts were prefilled again, and streams were cut when their time ran out.

Cause: `EventRelay::read` compared the time of the last event with the clock before it read what had arrived. The same held while a caller read slowly and the relay did not read from the engine.

Change: the relay counts the time for which it waits for the engine. If its timer fires more than 100 ms late, the host was paused, and the relay reads for another 50 ms before the stream counts as stalled. Bytes that complete no event are still no progress.

Evidence: `sound_stream_outlasts_a_pause_of_its_host` pauses a real process for 1.8 s.

--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -1,6 +1,6 @@
 //! Relays an event stream to the caller. If it breaks off and is resumable, another engine continues it.
 
-use std::time::Instant;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -16,6 +16,12 @@
 use crate::request::forward::transport::{BodyError, UpstreamBody};
 use crate::version::forwarding::RepeatPolicy;
 
+/// The longest time by which a timer fires late while the host runs. After a longer one the host was paused.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
+
+/// The time in which a host reads what arrived while it was paused.
+const PAUSE_READ_TIME: Duration = Duration::from_millis(50);
+
 /// The call to the engine that generates the stream. Dropping it closes the connection, which ends the run at the engine.
 struct OpenCall {
     attempt: Attempt,
@@ -33,8 +39,9 @@
     has_first_event: bool,
     /// Whether the caller has got a whole event of any attempt.
     has_whole_event: bool,
-    /// When the last whole event arrived or, before the first one, when the engine accepted the stream.
-    last_event_at: Instant,
+    /// How long the relay has waited for the engine since the last whole event or, before the first one, since it accepted the stream.
+    /// Time in which the relay did not wait, as the caller was slow to read, is not part of it.
+    silence: Duration,
 }
 
 /// Why reading from the upstream failed.
@@ -62,7 +69,6 @@
     pub fn new(generation: Generation, attempt: Attempt, response: Response<UpstreamBody>) -> Self {
         let (head, body) = response.into_parts();
         let is_resumable = generation.call().route.repeat == RepeatPolicy::ResumableStream;
-        let last_event_at = generation.context().clock.now();
         Self {
             generation,
             open_call: Some(OpenCall { attempt, body }),
@@ -71,7 +77,7 @@
             meter: EventMeter::default(),
             has_first_event: false,
             has_whole_event: false,
-            last_event_at,
+            silence: Duration::ZERO,
         }
     }
 
@@ -126,7 +132,7 @@
                     if !self.generation.reserve_resume(record).await {
                         // The engine may be slow but sound, and no other one would do better.
                         record.note("no event in time; no other engine has room");
-                        self.last_event_at = self.generation.context().clock.now();
+                        self.silence = Duration::ZERO;
                         continue;
                     }
                     "no event in time".to_owned()
@@ -163,7 +169,7 @@
         };
         if has_whole_event {
             self.has_whole_event = true;
-            self.last_event_at = self.generation.context().clock.now();
+            self.silence = Duration::ZERO;
         }
         Ok(bytes)
     }
@@ -200,24 +206,23 @@
         };
         let cx = self.generation.context();
         let end = self.generation.call().deadline;
-        let mut deadline = end;
-        if self.splitter.is_some() {
-            // Bytes that complete no event are no progress.
-            deadline = deadline.min(self.last_event_at + cx.settings.stall_timeout);
-        }
-        let late = || {
-            if deadline < end {
-                ReadFailure::Stalled
-            } else {
-                ReadFailure::Late
-            }
-        };
+        let stall_timeout = cx.settings.stall_timeout;
         loop {
+            let began = cx.clock.now();
             // A body that always has bytes ready would never let the timeout pass.
-            if cx.clock.now() >= deadline {
-                return Err(late());
+            if began >= end {
+                return Err(ReadFailure::Late);
             }
-            match tokio::time::timeout_at(deadline.into(), call.body.frame()).await {
+            let deadline = if self.splitter.is_some() {
+                // Bytes that complete no event are no progress.
+                end.min(began + stall_timeout.saturating_sub(self.silence))
+            } else {
+                end
+            };
+            let frame = tokio::time::timeout_at(deadline.into(), call.body.frame()).await;
+            let now = cx.clock.now();
+            self.silence += now.saturating_duration_since(began);
+            match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
                         return Ok(Some(bytes));
@@ -227,7 +232,12 @@
                     return Err(ReadFailure::Broken(format!("stream broke off: {e}")));
                 }
                 Ok(None) => return Ok(None),
-                Err(_) => return Err(late()),
+                Err(_) if deadline == end => return Err(ReadFailure::Late),
+                Err(_) if now.saturating_duration_since(deadline) > MAX_TIMER_DELAY => {
+                    // The host was paused, and what the engine sent meanwhile may be unread.
+                    self.silence = stall_timeout.saturating_sub(PAUSE_READ_TIME);
+                }
+                Err(_) => return Err(ReadFailure::Stalled),
             }
         }
     }
@@ -254,7 +264,7 @@
                     let body = response.into_body();
                     self.open_call = Some(OpenCall { attempt, body });
                     self.has_first_event = false;
-                    self.last_event_at = self.generation.context().clock.now();
+                    self.silence = Duration::ZERO;
                     return true;
                 }
                 Ok((response, attempt)) => {
--- a/tests/suite/forward_overlap.rs
+++ b/tests/suite/forward_overlap.rs
@@ -1,10 +1,19 @@
 //! Streams that continue at another engine: the engine before must have ended its run by then.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::platform_stand_in::{
-    Answer, Behaviour, EVENT_COUNT, Platform, event, overlapping_runs, wait_until,
+    Answer, Behaviour, EVENT_COUNT, Platform, StandIns, configuration, event, overlapping_runs,
+    request, send, wait_until,
 };
+use crate::processes::is_ready;
+use crate::soak_hosts::SoakHost;
+
+/// The pause of a host: longer than the silence after which a stream counts as stalled, and short enough for the stream to end in time.
+const PAUSE: Duration = Duration::from_millis(1800);
+
+/// The time within which a host must be ready after its start.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A deadline that leaves a stalled stream enough time at the next engine to show an overlap.
 const PATIENT_MS: &str = "4000";
@@ -106,3 +115,38 @@
     }
     assert_eq!(overlapping_runs(&platform.runs).len(), 1);
 }
+
+/// Guards against a sound stream that is sent to a second engine because its host was paused and had read nothing meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sound_stream_outlasts_a_pause_of_its_host() {
+    let stand_ins = StandIns::start().await;
+    stand_ins.register_all().await;
+    stand_ins.configure(&configuration(1)).await;
+    for id in ["d-0", "d-1"] {
+        let engine = stand_ins.upstream(id);
+        engine.set_behaviour(Behaviour::SlowEvents);
+    }
+    let name = format!("hibiscusspread-pause-{:08x}", rand::random::<u32>());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).expect("folder is created");
+    let host = SoakHost::start(0, stand_ins.store_address, &folder);
+    let started = Instant::now();
+    while !is_ready(host.operators).await {
+        assert!(started.elapsed() < START_TIMEOUT, "host is not ready");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let mut req = request("POST", &format!("http://{}/long/1", host.callers));
+    let patient = PATIENT_MS.parse().expect("value");
+    req.headers_mut().insert("x-deadline-ms", patient);
+    let pausing = async {
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        host.signal("-STOP");
+        tokio::time::sleep(PAUSE).await;
+        host.signal("-CONT");
+    };
+    let (answer, ()) = tokio::join!(send(host.callers, req), pausing);
+    let whole: String = (0..EVENT_COUNT).map(event).collect();
+    assert_eq!((answer.body.as_str(), answer.is_complete), (&*whole, true));
+    assert_eq!(stand_ins.runs.lock().expect("log").len(), 1);
+    std::fs::remove_dir_all(&folder).expect("folder is removed");
+}
