Answer or refuse requests that come late in a planned stop

Cause: only streams were checked against the end of the grace. Calls of plain services were sent until the last moment, and nothing answered open requests before the process ended.

Change: one check, `check_drain_deadline`, serves both. A call needs the smaller of the caller's patience and ten times its route's target; with less time left it is refused as not run. 150 ms before open connections are cut, requests without an answer get one: 504 if they were passed on, 503 if their body had not arrived.

Evidence: `stopping_host_answers_what_it_passes_on` stops a real process under requests of all kinds at each tenth of its grace.

--- a/src/connection/forward/handler.rs
+++ b/src/connection/forward/handler.rs
@@ -13,7 +13,7 @@
 use crate::connection::headers::remove_hop_by_hop_headers;
 use crate::prelude::*;
 use crate::request::forward::call::{Call, CallHead};
-use crate::request::forward::flow::{Admitted, ForwardContext, admit, run};
+use crate::request::forward::flow::{Admitted, ForwardContext, STOPPING_RETRY_AFTER, admit, run};
 use crate::request::forward::record::ForwardRecord;
 
 /// Handles callers' requests by forwarding them whole to upstreams.
@@ -52,7 +52,16 @@
                 return self.refuse(&head, record, &refusal);
             }
         };
-        let body = match self.bodies.read(body).await {
+        let body = tokio::select! {
+            biased;
+            body = self.bodies.read(body) => body,
+            () = self.cx.state.wait_for_drain_deadline() => {
+                let message = "host stopped before the body had arrived; repeat at once, on a new connection";
+                let refusal = Refusal::not_run(RefusalKind::Unavailable, message);
+                Err(refusal.with_retry_after(STOPPING_RETRY_AFTER))
+            }
+        };
+        let body = match body {
             Ok(body) => body,
             Err(refusal) => return self.refuse(&head, record, &refusal),
         };
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -62,8 +62,8 @@
     list_incomplete: tokio::sync::Notify,
     /// The time until which this host may not know yet whether the fleet has relays.
     starts_until: watch::Sender<Option<Instant>>,
-    /// When this host cuts off open requests; set once it drains.
-    drain_deadline: Mutex<Option<Instant>>,
+    /// When this host gives up on requests that have no answer yet; set once it drains.
+    drain_deadline: watch::Sender<Option<Instant>>,
     /// The time after which other hosts' calls are reported to this one.
     report_delay: Mutex<Duration>,
     /// Wakes the task that reports to other hosts.
@@ -90,7 +90,7 @@
             crash_reports: Mutex::new(RecentNews::new(CRASH_REPORT_TTL)),
             list_incomplete: tokio::sync::Notify::new(),
             starts_until: watch::Sender::default(),
-            drain_deadline: Mutex::default(),
+            drain_deadline: watch::Sender::default(),
             report_delay: Mutex::default(),
             report_requested: tokio::sync::Notify::new(),
             newest_version: watch::Sender::new(0),
@@ -328,14 +328,26 @@
         self.starts_until.borrow().is_some_and(|until| now < until)
     }
 
-    /// Sets the time at which this host, which drains from now on, cuts off open requests.
-    pub fn set_drain_deadline(&self, end: Instant) {
-        *lock(&self.drain_deadline) = Some(end);
+    /// Sets the time at which this host, which drains from now on, gives up on requests that have no answer yet.
+    pub fn set_drain_deadline(&self, deadline: Instant) {
+        self.drain_deadline.send_replace(Some(deadline));
     }
 
-    /// Returns when the host cuts off open requests; `None` unless it drains.
+    /// Returns when the host gives up on requests that have no answer yet; `None` unless it drains.
     pub fn drain_deadline(&self) -> Option<Instant> {
-        *lock(&self.drain_deadline)
+        *self.drain_deadline.borrow()
+    }
+
+    /// Waits until the drain deadline, forever unless the host drains.
+    pub async fn wait_for_drain_deadline(&self) {
+        let mut drain_deadline = self.drain_deadline.subscribe();
+        let deadline = drain_deadline.wait_for(Option::is_some).await;
+        // The sender lives as long as `self`.
+        let deadline = deadline.ok().and_then(|deadline| *deadline);
+        match deadline {
+            Some(deadline) => tokio::time::sleep_until(deadline.into()).await,
+            None => std::future::pending().await,
+        }
     }
 
     /// Records the configuration version that another host has in force.
--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -34,6 +34,9 @@
 /// The time before the end of the grace period at which a draining host cuts off open requests, to announce that it leaves.
 const GRACE_MARGIN: Duration = Duration::from_millis(350);
 
+/// The time before that in which a draining host answers the requests that no upstream has answered.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(150);
+
 /// The longest time after its start for which a host is not ready because it has not heard of the others' grants.
 const MAX_INTRODUCTION_TIME: Duration = Duration::from_secs(3);
 
@@ -185,11 +188,13 @@
     }
 
     /// Shuts the host down gracefully: it reports that it is not ready, closes kept-alive connections after the answers under way,
-    /// accepts new connections until the load balancer has noticed, and lets open requests finish within the grace period.
+    /// accepts new connections until the load balancer has noticed, and lets open requests finish within the grace period. Requests
+    /// without an answer get one shortly before its end; streams that still run then are cut off.
     pub async fn drain(self) {
         let times = *lock(&self.drain_times);
         let open = times.grace.saturating_sub(GRACE_MARGIN);
-        self.cx.state.set_drain_deadline(self.cx.clock.now() + open);
+        let deadline = self.cx.clock.now() + open.saturating_sub(FINAL_ANSWER_TIME);
+        self.cx.state.set_drain_deadline(deadline);
         self.stop.send_replace(StopPhase::Draining);
         tokio::time::sleep(times.drain_delay).await;
         self.stop.send_replace(StopPhase::Stopped);
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -44,6 +44,9 @@
 /// The `Retry-After` of a host without a configuration. Hosts read the configuration within milliseconds of their start.
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The `Retry-After` of a host that stops. Other hosts accept the request at once.
+pub const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// The hexadecimal digits of a part's fingerprint in the log.
 const PART_LOG_DIGITS: usize = 16;
 
@@ -94,7 +97,15 @@
     mut record: ForwardRecord,
 ) -> Result<Response<UpstreamBody>, Refusal> {
     record.set_admitted(&call);
-    match run_until_head(&cx, &call, &mut record).await {
+    let response = tokio::select! {
+        biased;
+        response = run_until_head(&cx, &call, &mut record) => response,
+        () = cx.state.wait_for_drain_deadline() => {
+            let message = "host stopped before an upstream answered; repeat it only if it may run twice";
+            Err(Refusal::may_have_run(RefusalKind::UpstreamTimeout, message))
+        }
+    };
+    match response {
         Ok(ForwardResponse::Whole(response)) => {
             record.record_first_part();
             record.finish(Outcome::Answered, response.status().as_u16());
@@ -160,6 +171,30 @@
     response
 }
 
+/// Checks that a request which is predicted to take `time` ends before the host does, if it drains. The caller can reach another host
+/// at once.
+///
+/// # Errors
+/// Returns `Unavailable` if the request would be cut off.
+pub fn check_drain_deadline(cx: &ForwardContext, time: Duration) -> Result<(), Refusal> {
+    let Some(deadline) = cx.state.drain_deadline() else {
+        return Ok(());
+    };
+    let left = deadline.saturating_duration_since(cx.clock.now());
+    if time < left {
+        return Ok(());
+    }
+    let message =
+        "host stops before the answer would be whole; repeat at once, on a new connection";
+    let figures = format!(
+        "predicted={}ms left={}ms",
+        time.as_millis(),
+        left.as_millis()
+    );
+    let refusal = Refusal::not_run(RefusalKind::Unavailable, message).with_figures(figures);
+    Err(refusal.with_retry_after(STOPPING_RETRY_AFTER))
+}
+
 /// Checks that neither equal requests nor a part of the prompt have crashed too many upstreams.
 ///
 /// # Errors
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -5,7 +5,7 @@
 mod reservation;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use http::Response;
 use smallvec::SmallVec;
@@ -19,7 +19,7 @@
 };
 use crate::request::forward::call::{Call, CallPart, TokenCounts};
 use crate::request::forward::flow::{
-    ForwardContext, ForwardResponse, check_quarantine, unserved_refusal,
+    ForwardContext, ForwardResponse, check_drain_deadline, check_quarantine, unserved_refusal,
 };
 use crate::request::forward::generation::prefill::PrefilledPrompt;
 use crate::request::forward::generation::reservation::{DecodeCapacity, Reservation};
@@ -28,9 +28,6 @@
 use crate::request::forward::transport::UpstreamBody;
 use crate::version::forwarding::{EngineLimits, RepeatPolicy};
 
-/// The `Retry-After` of a host that stops. Other hosts accept the request at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// The attempts of one generation. A stream that breaks off makes further ones.
 pub struct Generation {
     cx: Arc<ForwardContext>,
@@ -70,7 +67,11 @@
         possible_runs: 0,
         resume_capacity: None,
     };
-    generation.check_drain_deadline()?;
+    let hold_time = cx
+        .state
+        .queues
+        .predicted_hold_time(service, generation.output_tokens());
+    check_drain_deadline(cx, hold_time)?;
     let capacity = generation.wait_for_capacity(record).await?;
     // Equal requests may have crashed engines meanwhile.
     check_quarantine(cx, call)?;
@@ -173,28 +174,6 @@
         self.call.head.tokens.map_or(0, |tokens| tokens.output)
     }
 
-    /// Refuses a stream that would not end before a stopping host does. The caller can reach another host at once.
-    fn check_drain_deadline(&self) -> Result<(), Refusal> {
-        let Some(end) = self.cx.state.drain_deadline() else {
-            return Ok(());
-        };
-        let queues = &self.cx.state.queues;
-        let hold_time = queues.predicted_hold_time(&self.service, self.output_tokens());
-        let left = end.saturating_duration_since(self.cx.clock.now());
-        if hold_time < left {
-            return Ok(());
-        }
-        let message =
-            "host stops before the answer would be whole; repeat at once, on a new connection";
-        let figures = format!(
-            "predicted={}ms left={}ms",
-            hold_time.as_millis(),
-            left.as_millis()
-        );
-        let refusal = Refusal::not_run(RefusalKind::Unavailable, message).with_figures(figures);
-        Err(refusal.with_retry_after(STOPPING_RETRY_AFTER))
-    }
-
     /// Returns the KV memory that the request is expected to take at its decode engine.
     fn expected_kv_tokens(&self) -> Tokens {
         self.call
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -1,7 +1,7 @@
 //! Runs a call of a plain service, which has a single response.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::Response;
 use smallvec::SmallVec;
@@ -14,7 +14,7 @@
     Attempt, AttemptFailure, SendOptions, choose_upstream, describe_choice, may_be_buffered,
 };
 use crate::request::forward::call::{Call, CallPart};
-use crate::request::forward::flow::{ForwardContext, unserved_refusal};
+use crate::request::forward::flow::{ForwardContext, check_drain_deadline, unserved_refusal};
 use crate::request::forward::record::ForwardRecord;
 use crate::request::forward::transport::{SendFailure, UpstreamBody, read_whole, whole_body};
 use crate::version::forwarding::RepeatPolicy;
@@ -23,6 +23,9 @@
 /// longer one is passed on as it arrives.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
+/// How many times their route's target calls take at the most, but for rare ones.
+const MAX_TARGETS: u32 = 10;
+
 /// The state of one call across its attempts.
 struct CallAttempts<'a> {
     cx: &'a Arc<ForwardContext>,
@@ -53,6 +56,7 @@
         reached: 0,
         possible_runs: 0,
     };
+    check_drain_deadline(cx, longest_time(cx, call))?;
     let repeatable = call.route.repeat == RepeatPolicy::Idempotent;
     let mut failed_response: Option<Response<UpstreamBody>> = None;
     let mut last_failure = "no upstream takes new work".to_owned();
@@ -108,6 +112,14 @@
     ))
 }
 
+/// Returns the time that a call takes at the most, but for rare ones.
+fn longest_time(cx: &ForwardContext, call: &Call) -> Duration {
+    let target = call.route.target_latency;
+    let target = target.unwrap_or(cx.settings.default_target);
+    let left = call.deadline.saturating_duration_since(cx.clock.now());
+    left.min(target * MAX_TARGETS)
+}
+
 impl CallAttempts<'_> {
     fn choose_upstream(&self) -> Option<Candidate> {
         let requirements = Requirements {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -19,6 +19,7 @@
 mod fleet_limits;
 mod forward_config_freshness;
 mod forward_connections;
+mod forward_drain;
 mod forward_endless;
 mod forward_fleet;
 mod forward_many_choosers;
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -864,10 +864,20 @@
     let socket = tokio::net::TcpStream::connect(address)
         .await
         .expect("host accepts");
+    send_on(socket, req).await.expect("host answers")
+}
+
+/// Sends a request on a connection, with the `Host` header that it has; `None` if the connection ends without an answer.
+pub async fn send_on<B>(
+    socket: tokio::net::TcpStream,
+    req: Request<B>,
+) -> Option<Response<hyper::body::Incoming>>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let io = hyper_util::rt::TokioIo::new(socket);
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(io)
-        .await
-        .expect("handshake");
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
     tokio::spawn(connection);
     let (mut parts, body) = req.into_parts();
     parts.uri = parts
@@ -877,10 +887,8 @@
         .as_str()
         .parse()
         .expect("path");
-    sender
-        .send_request(Request::from_parts(parts, body))
-        .await
-        .expect("host answers")
+    let sent = sender.send_request(Request::from_parts(parts, body)).await;
+    sent.ok()
 }
 
 fn registration(service: &str, address: SocketAddr, stage: Option<&str>, readiness: &str) -> Value {
