Begin the stop of a test only when the host has read the early heads

`stopping_host_answers_what_it_passes_on` failed in 1 of 8 runs and in 1 of 32 beside six busy processes: one of 20 early requests was not served. The stop began 20 ms after the requests were sent, and on a busy machine a head could arrive after it, on a connection that the host then closes unread. The test now waits until the host has asked for each body, which shows that it has read the head; a GET has a length, without which its body was never sent late.

--- a/tests/suite/forward_drain.rs
+++ b/tests/suite/forward_drain.rs
@@ -3,16 +3,20 @@
 use std::collections::HashSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use hyper::ext::on_informational;
 use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, watch};
+use tokio::time::timeout;
 
 use crate::platform_stand_in::{
-    Answer, Behaviour, StandIns, configuration, read_answer, request, send, send_on,
+    Answer, Behaviour, REQUEST_BODY, StandIns, configuration, read_answer, request, send, send_on,
 };
 use crate::processes::is_ready;
 use crate::soak_hosts::{GRACE, SoakHost};
@@ -23,6 +27,9 @@
 /// How long callers wait: longer than the grace of the host, so that only its stop can end a request.
 const PATIENCE_MS: u32 = 10_000;
 
+/// The parts of the grace at whose beginnings requests arrive.
+const TENTHS: u32 = 10;
+
 /// The paths that are called: once-only and repeatable calls, once-only and resumable streams.
 const CALLS: [(&str, &str); 4] = [
     ("POST", "/book/1"),
@@ -40,29 +47,52 @@
     answer: Option<Answer>,
 }
 
-/// Opens a connection and sends a request on it `after` some time: all of it or, with `has_early_head`, its body.
+/// What the requests and the stop of their host wait for.
+struct StopSignals {
+    /// Gets a permit for each request whose head the host has read.
+    heads_read: Semaphore,
+    begun: watch::Sender<bool>,
+}
+
+impl StopSignals {
+    async fn wait_until(&self, after: Duration) {
+        let mut begun = self.begun.subscribe();
+        begun.wait_for(|begun| *begun).await.expect("stop begins");
+        tokio::time::sleep(after).await;
+    }
+}
+
+/// Opens a connection and sends a request on it `after` the beginning of the stop: all of it or, with `has_early_head`, its body.
 async fn send_late(
     host: SocketAddr,
     (method, path): (&'static str, &'static str),
     has_early_head: bool,
     after: Duration,
+    stop: Arc<StopSignals>,
 ) -> Late {
     let socket = TcpStream::connect(host).await.expect("host accepts");
     let mut req = request(method, &format!("http://{host}{path}"));
-    let patience = PATIENCE_MS.into();
-    req.headers_mut().insert("x-deadline-ms", patience);
+    let headers = req.headers_mut();
+    headers.insert("x-deadline-ms", PATIENCE_MS.into());
+    // Without a length, the HTTP library sends no body with a GET.
+    headers.insert("content-length", REQUEST_BODY.len().into());
     let id = req.headers()["x-request-id"].to_str().expect("id");
     let id = id.to_owned();
-    if !has_early_head {
-        tokio::time::sleep(after).await;
+    if has_early_head {
+        // The host asks for the body once it has read the head.
+        let expected = "100-continue".parse().expect("value");
+        req.headers_mut().insert("expect", expected);
+        let stop = stop.clone();
+        on_informational(&mut req, move |_| stop.heads_read.add_permits(1));
+    } else {
+        stop.wait_until(after).await;
     }
     let req = req.map(|body| {
         let late = stream::once(async move {
             if has_early_head {
-                tokio::time::sleep(after).await;
+                stop.wait_until(after).await;
             }
-            let body = body.collect().await?.to_bytes();
-            Ok::<_, Infallible>(Frame::data(body))
+            Ok::<_, Infallible>(Frame::data(body.collect().await?.to_bytes()))
         });
         StreamBody::new(Box::pin(late))
     });
@@ -104,13 +134,23 @@
     for id in ["s-0", "s-1"] {
         stand_ins.upstream(id).set_behaviour(behaviour);
     }
-    let tenths = (0..10).map(|tenth| GRACE * tenth / 10);
-    let calls = tenths.flat_map(|after| {
-        CALLS.map(|call| [false, true].map(|early| send_late(host.callers, call, early, after)))
+    let stop = Arc::new(StopSignals {
+        heads_read: Semaphore::new(0),
+        begun: watch::Sender::new(false),
     });
-    let sending = calls.flatten();
+    let mut sending = Vec::new();
+    for after in (0..TENTHS).map(|tenth| GRACE * tenth / TENTHS) {
+        for call in CALLS {
+            sending.push(send_late(host.callers, call, false, after, stop.clone()));
+            sending.push(send_late(host.callers, call, true, after, stop.clone()));
+        }
+    }
+    let heads = u32::try_from(sending.len() / 2).expect("requests are few");
     let stopping = async {
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        let read = timeout(START_TIMEOUT, stop.heads_read.acquire_many(heads)).await;
+        let _ =
+            read.unwrap_or_else(|_| panic!("{} heads read", stop.heads_read.available_permits()));
+        stop.begun.send_replace(true);
         host.stop().await
     };
     let (late, stopped) = tokio::join!(join_all(sending), stopping);
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -736,6 +736,9 @@
     read_answer(send_raw(address, req).await).await
 }
 
+/// The body of requests.
+pub const REQUEST_BODY: &str = "a body";
+
 /// Builds a request with the customer's key and a random id.
 pub fn request(method: &str, uri: &str) -> Request<Full<Bytes>> {
     let id = format!("{:016x}", rand::random::<u64>());
@@ -748,7 +751,7 @@
         .header("x-model", "m")
         .header("x-token-counts", "1000,100")
         .header("authorization", format!("Token {KEY}"))
-        .body(Full::new(Bytes::from("a body")))
+        .body(Full::new(Bytes::from(REQUEST_BODY)))
         .expect("request is valid")
 }
 
