Let the soak check that no two engines work on a stream at once

The soak counted runs, but it let no engine stall in the middle of a stream and did not see how long runs last. Resumable streams get a deadline that leaves them the time to go on.

--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -15,7 +15,8 @@
 use hibiscusspread::process::shard::lock;
 
 use crate::platform_stand_in::{
-    Behaviour, StandIns, configuration, configuration_with_reservations,
+    ALLOWED_OVERLAP, Behaviour, StandIns, configuration, configuration_with_reservations,
+    overlapping_runs,
 };
 use crate::processes::is_ready;
 use crate::soak_callers::{Caller, Findings};
@@ -23,8 +24,8 @@
 use crate::soak_proxy::{LinkMode, Proxy};
 
 /// The seeds that run by default: seeds that once failed, each to be added with its cause, and one more.
-/// In 21034, SIGHUP ended a host that was starting.
-const SEEDS: [u64; 2] = [1, 21034];
+/// In 21034, SIGHUP ended a host that was starting. In 70002, stalled streams went on at a second engine beside the first.
+const SEEDS: [u64; 3] = [1, 21034, 70002];
 
 /// The number of hosts.
 const HOSTS: usize = 3;
@@ -39,6 +40,9 @@
 /// requires.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// The time during which engines stall.
+const STALL_PERIOD: Duration = Duration::from_secs(5);
+
 /// The time without faults before hosts are stopped in turn; longer than any upstream is left out after a failure.
 const QUIET_PERIOD: Duration = Duration::from_millis(4500);
 
@@ -98,6 +102,9 @@
         self.inject_faults().await;
         self.end_faults().await;
         self.recover("faults").await;
+        self.stall_engines().await;
+        self.end_faults().await;
+        self.recover("stalls").await;
         tokio::time::sleep(QUIET_PERIOD).await;
         self.restart_in_turn().await;
         for caller in callers {
@@ -227,6 +234,39 @@
         self.stand_ins.upstreams[upstream].set_behaviour(behaviour);
     }
 
+    /// Lets decode engines stall, pause and lose answers while hosts and links are in order. Then no request may go on at a second
+    /// engine while the first one works on it.
+    async fn stall_engines(&mut self) {
+        let behaviours = [
+            Behaviour::Run,
+            Behaviour::Stall,
+            Behaviour::PausedEvents,
+            Behaviour::SlowEvents,
+            Behaviour::Truncate,
+            Behaviour::LoseAnswer,
+            Behaviour::Slow,
+            Behaviour::Hang,
+        ];
+        let started = Instant::now();
+        while started.elapsed() < STALL_PERIOD {
+            for id in ["d-0", "d-1"] {
+                let behaviour = behaviours[self.rng.random_range(0..behaviours.len())];
+                self.stand_ins.upstream(id).set_behaviour(behaviour);
+            }
+            let pause = Duration::from_millis(self.rng.random_range(200..1200));
+            tokio::time::sleep(pause).await;
+        }
+        // Runs that began last may overlap only later.
+        tokio::time::sleep(2 * ALLOWED_OVERLAP).await;
+        let overlaps = overlapping_runs(&self.stand_ins.runs).into_iter();
+        for (earlier, later) in overlaps.filter(|(earlier, _)| earlier.began > started) {
+            self.findings.report(format!(
+                "{}: went on at {} while {} worked on it",
+                later.request, later.upstream, earlier.upstream
+            ));
+        }
+    }
+
     /// Changes the configuration, or has an upstream drain or become ready again.
     async fn change_configuration(&mut self) {
         // Operators and upstreams reach the store by other paths, which the injected faults must not affect.
--- a/tests/suite/soak_callers.rs
+++ b/tests/suite/soak_callers.rs
@@ -29,6 +29,9 @@
 /// The longest time that a caller waits for an answer; above the deadline that its requests state.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// The deadline of resumable streams: it leaves one that stalls the time to go on at another engine.
+const RESUMABLE_DEADLINE_MS: u32 = 4000;
+
 /// The results of the callers' checks.
 #[derive(Default)]
 pub struct Findings {
@@ -135,7 +138,11 @@
     async fn call(&mut self, kind: usize, findings: &Findings) -> bool {
         let (method, prefix) = KINDS[kind];
         let path = format!("{prefix}{:x}", self.rng.random::<u32>());
-        let req = request(method, &path);
+        let mut req = request(method, &path);
+        if prefix == "/long/" {
+            let patience = RESUMABLE_DEADLINE_MS.into();
+            req.headers_mut().insert("x-deadline-ms", patience);
+        }
         let id = req.headers()["x-request-id"].to_str().expect("id is text");
         let id = id.to_owned();
         let answer = async { Some(read_answer(self.send(req).await?).await) };
