Count a pause of the host once also where bytes were read after it

Read in the diff: if a part of an event was read after a pause, the pause still counted as silence and the stream stalled at the next read. The pause is now recognised after each read.

--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -127,9 +127,9 @@
 pub struct CalledAddresses(SmallVec<[SocketAddr; 4]>);
 
 impl CalledAddresses {
-    /// Adds an address, and returns the time since the last contact within which a call to it may be sent on a kept connection: `window`
-    /// for the first call, none for further ones.
-    pub fn add(&mut self, address: SocketAddr, window: Duration) -> Duration {
+    /// Returns the time since the last contact within which the next call, to `address`, may be sent on a kept connection: `window` for the
+    /// first call to an address, none for further ones. Adds the address.
+    pub fn reuse_window(&mut self, address: SocketAddr, window: Duration) -> Duration {
         if self.0.contains(&address) {
             return Duration::ZERO;
         }
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -291,7 +291,9 @@
                 .map_or(CallPart::Whole, |prompt| prompt.part()),
             last_event_id,
             reservation,
-            reuse_window: self.called.add(attempt.instance.address, reuse_window),
+            reuse_window: self
+                .called
+                .reuse_window(attempt.instance.address, reuse_window),
             deadline: self.call.deadline,
         };
         let sent = attempt.send(&self.call, options).await;
--- a/src/request/forward/generation/prefill.rs
+++ b/src/request/forward/generation/prefill.rs
@@ -93,7 +93,7 @@
         queued: Tokens,
     ) -> Result<PrefilledPrompt, AttemptFailure> {
         let reuse_window = self.cx.settings.reuse_window_repeatable;
-        let reuse_window = self.called.add(holder.address, reuse_window);
+        let reuse_window = self.called.reuse_window(holder.address, reuse_window);
         let cx = &self.cx;
         let tokens = self.prompt_tokens();
         let mut attempt = Attempt::begin(cx, holder.clone(), tokens);
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -175,7 +175,9 @@
             part: CallPart::Whole,
             last_event_id: None,
             reservation: None,
-            reuse_window: self.called.add(attempt.instance.address, reuse_window),
+            reuse_window: self
+                .called
+                .reuse_window(attempt.instance.address, reuse_window),
             deadline,
         };
         let response = attempt.send(self.call, options).await?;
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -221,7 +221,12 @@
             };
             let frame = tokio::time::timeout_at(deadline.into(), call.body.frame()).await;
             let now = cx.clock.now();
-            self.silence += now.saturating_duration_since(began);
+            self.silence = if now.saturating_duration_since(deadline) > MAX_TIMER_DELAY {
+                // The host was paused, and what the engine sent meanwhile may be unread.
+                stall_timeout.saturating_sub(PAUSE_READ_TIME)
+            } else {
+                self.silence + now.saturating_duration_since(began)
+            };
             match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
@@ -233,11 +238,8 @@
                 }
                 Ok(None) => return Ok(None),
                 Err(_) if deadline == end => return Err(ReadFailure::Late),
-                Err(_) if now.saturating_duration_since(deadline) > MAX_TIMER_DELAY => {
-                    // The host was paused, and what the engine sent meanwhile may be unread.
-                    self.silence = stall_timeout.saturating_sub(PAUSE_READ_TIME);
-                }
-                Err(_) => return Err(ReadFailure::Stalled),
+                Err(_) if self.silence >= stall_timeout => return Err(ReadFailure::Stalled),
+                Err(_) => {}
             }
         }
     }
