--- a/tests/suite/forward_drain.rs
+++ b/tests/suite/forward_drain.rs
@@ -4,7 +4,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use futures_util::stream;
@@ -18,11 +18,10 @@
 use crate::platform_stand_in::{
     Answer, Behaviour, REQUEST_BODY, StandIns, configuration, read_answer, request, send, send_on,
 };
-use crate::processes::is_ready;
-use crate::soak_hosts::{GRACE, SoakHost};
+use crate::soak_hosts::{GRACE, SoakHost, host_folder};
 
-/// The time within which a host must be ready after its start.
-const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// The time within which a host must have read the heads of all requests.
+const HEADS_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How long callers wait: longer than the grace of the host, so that only its stop can end a request.
 const PATIENCE_MS: u32 = 10_000;
@@ -118,15 +117,9 @@
         route["timeoutMs"] = PATIENCE_MS.into();
     }
     stand_ins.configure(&document).await;
-    let name = format!("hibiscusspread-drain-{:08x}", rand::random::<u32>());
-    let folder = std::env::temp_dir().join(name);
-    std::fs::create_dir_all(&folder).expect("folder is created");
+    let folder = host_folder();
     let host = SoakHost::start(0, stand_ins.store_address, &folder);
-    let started = Instant::now();
-    while !is_ready(host.operators).await {
-        assert!(started.elapsed() < START_TIMEOUT, "host is not ready");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    host.wait_ready().await;
     for (method, path) in CALLS {
         let req = request(method, &format!("http://{}{path}", host.callers));
         assert_eq!(send(host.callers, req).await.status, 200);
@@ -147,7 +140,7 @@
     }
     let heads = u32::try_from(sending.len() / 2).expect("requests are few");
     let stopping = async {
-        let read = timeout(START_TIMEOUT, stop.heads_read.acquire_many(heads)).await;
+        let read = timeout(HEADS_TIMEOUT, stop.heads_read.acquire_many(heads)).await;
         let _ =
             read.unwrap_or_else(|_| panic!("{} heads read", stop.heads_read.available_permits()));
         stop.begun.send_replace(true);
--- a/tests/suite/forward_overlap.rs
+++ b/tests/suite/forward_overlap.rs
@@ -1,20 +1,16 @@
 //! Streams that continue at another engine: the engine before must have ended its run by then.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::platform_stand_in::{
     Answer, Behaviour, EVENT_COUNT, Platform, StandIns, configuration, event, overlapping_runs,
     request, send, wait_until,
 };
-use crate::processes::is_ready;
-use crate::soak_hosts::SoakHost;
+use crate::soak_hosts::{SoakHost, host_folder};
 
 /// The pause of a host: longer than the silence after which a stream counts as stalled, and short enough for the stream to end in time.
 const PAUSE: Duration = Duration::from_millis(1800);
 
-/// The time within which a host must be ready after its start.
-const START_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// A deadline that leaves a stalled stream enough time at the next engine to show an overlap.
 const PATIENT_MS: &str = "4000";
 
@@ -126,15 +122,9 @@
         let engine = stand_ins.upstream(id);
         engine.set_behaviour(Behaviour::SlowEvents);
     }
-    let name = format!("hibiscusspread-pause-{:08x}", rand::random::<u32>());
-    let folder = std::env::temp_dir().join(name);
-    std::fs::create_dir_all(&folder).expect("folder is created");
+    let folder = host_folder();
     let host = SoakHost::start(0, stand_ins.store_address, &folder);
-    let started = Instant::now();
-    while !is_ready(host.operators).await {
-        assert!(started.elapsed() < START_TIMEOUT, "host is not ready");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    host.wait_ready().await;
     let mut req = request("POST", &format!("http://{}/long/1", host.callers));
     let patient = PATIENT_MS.parse().expect("value");
     req.headers_mut().insert("x-deadline-ms", patient);
--- a/tests/suite/soak.rs
+++ b/tests/suite/soak.rs
@@ -20,7 +20,7 @@
 };
 use crate::processes::is_ready;
 use crate::soak_callers::{Caller, Findings};
-use crate::soak_hosts::SoakHost;
+use crate::soak_hosts::{SoakHost, host_folder};
 use crate::soak_proxy::{LinkMode, Proxy};
 
 /// The seeds that run by default: seeds that once failed, each to be added with its cause, and one more.
@@ -427,8 +427,7 @@
     };
     let jobs = env_number("SOAK_JOBS").unwrap_or(2);
     let jobs = usize::try_from(jobs).expect("jobs are few");
-    let name = format!("hibiscusspread-soak-{:08x}", rand::random::<u32>());
-    let folder = std::env::temp_dir().join(name);
+    let folder = host_folder();
     let runs = seeds.into_iter().map(|seed| {
         let folder = folder.join(seed.to_string());
         async move {
--- a/tests/suite/soak_hosts.rs
+++ b/tests/suite/soak_hosts.rs
@@ -9,7 +9,7 @@
 
 use hibiscusspread::process::shard::lock;
 
-use crate::processes::{self, binary, free_address};
+use crate::processes::{self, binary, free_address, is_ready};
 
 /// The grace period of the hosts' settings: the time from SIGTERM within which a host must exit.
 pub const GRACE: Duration = Duration::from_secs(3);
@@ -17,6 +17,17 @@
 /// The extra time that a host may take on a loaded machine.
 const GRACE_SLACK: Duration = Duration::from_secs(1);
 
+/// The time within which a host must be ready after its start.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Creates a folder for the settings and logs of the hosts of one test.
+pub fn host_folder() -> PathBuf {
+    let name = format!("hibiscusspread-soak-{:08x}", rand::random::<u32>());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).expect("folder is created");
+    folder
+}
+
 /// A host and its process.
 pub struct SoakHost {
     /// The host's name, also of its settings and log files.
@@ -61,6 +72,15 @@
         host
     }
 
+    /// Waits until the host is ready, and panics if it isn't in time.
+    pub async fn wait_ready(&self) {
+        let started = Instant::now();
+        while !is_ready(self.operators).await {
+            assert!(started.elapsed() < START_TIMEOUT, "host is not ready");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Starts the process unless it runs.
     pub fn run(&self) {
         let mut child = lock(&self.child);
