--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -34,7 +34,7 @@
 /// The time before the end of the grace period at which a draining host cuts off open requests, to announce that it leaves.
 const GRACE_MARGIN: Duration = Duration::from_millis(350);
 
-/// The time before that in which a draining host answers the requests that no upstream has answered.
+/// The time before open requests are cut off in which a draining host answers those that no upstream has answered.
 const FINAL_ANSWER_TIME: Duration = Duration::from_millis(150);
 
 /// The longest time after its start for which a host is not ready because it has not heard of the others' grants.
