Let parts add sections to the reports between hosts

Cause: new state between hosts changed the form of reports, so that hosts of different builds could not read each other's reports. Change: sections with a number and a length follow a report; unknown ones are skipped, malformed ones dropped one by one.

--- a/src/connection/forward/reports.rs
+++ b/src/connection/forward/reports.rs
@@ -1,6 +1,8 @@
 //! Reports between hosts over UDP, one `bincode` message per datagram. A lost datagram does no harm, because each
 //! report replaces the ones before. Without connections, none can go silent, and a host that doesn't read blocks no
 //! other.
+//!
+//! Sections follow a report: each its number (one byte), its length (two bytes, little-endian) and its `bincode` body.
 
 use std::net::SocketAddr;
 
@@ -8,13 +10,111 @@
 use tokio::net::UdpSocket;
 
 use crate::connection::codec;
+use crate::prelude::*;
 use crate::process::forwarding::peers::HostReport;
 use crate::process::forwarding::report_exchange::ReportLink;
+use crate::process::forwarding::report_sections::ReportSection;
 use crate::process::metrics;
 
 /// The largest report, in bytes; a UDP datagram carries somewhat more.
 const MAX_REPORT_BYTES: usize = 60 << 10;
 
+/// The largest decoded section, in bytes.
+const MAX_SECTION_BYTES: usize = 48 << 10;
+
+/// The bytes before the body of a section: its number and its length.
+const SECTION_HEAD_BYTES: usize = 3;
+
+/// The numbers of sections. They are part of the protocol: a number is never given to another section.
+const STORE_GENERATION: u8 = 1;
+
+/// Encodes a report and its sections. Sections that would make it too large are left out, those with the highest numbers first.
+///
+/// # Errors
+/// Returns the cause if the report itself is too large or can't be encoded.
+pub fn encode_report(report: &HostReport) -> Result<Vec<u8>, String> {
+    let mut bytes = codec::encode(report)?;
+    if bytes.len() > MAX_REPORT_BYTES {
+        return Err(format!(
+            "its {} bytes exceed {MAX_REPORT_BYTES}",
+            bytes.len()
+        ));
+    }
+    let mut sections = Vec::with_capacity(report.sections.len());
+    for section in &report.sections {
+        sections.push(encode_section(section)?);
+    }
+    sections.sort_by_key(|(number, _)| *number);
+    for (number, body) in sections {
+        let length = u16::try_from(body.len());
+        let fits = bytes.len() + SECTION_HEAD_BYTES + body.len() <= MAX_REPORT_BYTES;
+        match length {
+            Ok(length) if fits => {
+                bytes.push(number);
+                bytes.extend_from_slice(&length.to_le_bytes());
+                bytes.extend_from_slice(&body);
+            }
+            _ => {
+                log::debug!(target: "peers", "section {number} of a report left out: no room for {} bytes", body.len());
+            }
+        }
+    }
+    Ok(bytes)
+}
+
+/// Decodes a report and the sections that this build knows. A section that can't be decoded is left out and counted.
+///
+/// # Errors
+/// Returns the cause if the report itself is malformed.
+pub fn decode_report(bytes: &[u8]) -> Result<HostReport, String> {
+    let (mut report, mut rest) = codec::decode_first::<HostReport, MAX_REPORT_BYTES>(bytes)?;
+    while !rest.is_empty() {
+        let Some((number, body, next)) = split_section(rest) else {
+            dropped_section("truncated", "it is truncated");
+            break;
+        };
+        rest = next;
+        match decode_section(number, body) {
+            Some(Ok(section)) => report.sections.push(section),
+            Some(Err(e)) => dropped_section("malformed", &e),
+            // A section of a newer build.
+            None => {}
+        }
+    }
+    Ok(report)
+}
+
+fn encode_section(section: &ReportSection) -> Result<(u8, Vec<u8>), String> {
+    match section {
+        ReportSection::StoreGeneration(generation) => {
+            Ok((STORE_GENERATION, codec::encode(generation)?))
+        }
+    }
+}
+
+/// Decodes the body of a section; `None` if this build doesn't know its number.
+fn decode_section(number: u8, body: &[u8]) -> Option<Result<ReportSection, String>> {
+    let section = match number {
+        STORE_GENERATION => codec::decode_exactly::<Generation, MAX_SECTION_BYTES>(body)
+            .map(ReportSection::StoreGeneration),
+        _ => return None,
+    };
+    Some(section)
+}
+
+/// Splits off the first section: its number, its body, and the bytes after it.
+fn split_section(bytes: &[u8]) -> Option<(u8, &[u8], &[u8])> {
+    let (head, rest) = bytes.split_at_checked(SECTION_HEAD_BYTES)?;
+    let length = usize::from(u16::from_le_bytes([head[1], head[2]]));
+    let (body, rest) = rest.split_at_checked(length)?;
+    Some((head[0], body, rest))
+}
+
+fn dropped_section(reason: &'static str, cause: &str) {
+    ::metrics::counter!(metrics::REPORT_SECTIONS_DROPPED, "reason" => reason).increment(1);
+    log::debug!(target: "peers", "section of a report dropped: {cause}");
+}
+
 /// The UDP socket on which reports are sent and received.
 pub struct ReportSocket {
     socket: UdpSocket,
@@ -42,14 +142,10 @@
 #[async_trait]
 impl ReportLink for ReportSocket {
     async fn send(&self, to: &[SocketAddr], report: &HostReport) {
-        let bytes = match codec::encode(report) {
-            Ok(bytes) if bytes.len() <= MAX_REPORT_BYTES => bytes,
-            Ok(bytes) => {
-                log::warn!(target: "peers", "report not sent: its {} bytes exceed {MAX_REPORT_BYTES}", bytes.len());
-                return;
-            }
+        let bytes = match encode_report(report) {
+            Ok(bytes) => bytes,
             Err(e) => {
-                log::warn!(target: "peers", "failed to encode a report: {e}");
+                log::warn!(target: "peers", "report not sent: {e}");
                 return;
             }
         };
@@ -71,7 +167,7 @@
                     continue;
                 }
             };
-            match codec::decode_exactly::<HostReport, MAX_REPORT_BYTES>(&buf[..size]) {
+            match decode_report(&buf[..size]) {
                 Ok(report) => return report,
                 Err(e) => {
                     ::metrics::counter!(metrics::REPORTS_DROPPED).increment(1);
--- a/src/process/forwarding.rs
+++ b/src/process/forwarding.rs
@@ -8,6 +8,7 @@
 pub mod recent_news;
 pub mod relays;
 pub mod report_exchange;
+pub mod report_sections;
 pub mod retry_budget;
 pub mod selection;
 pub mod service_queues;
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -13,10 +13,11 @@
 use crate::process::forwarding::load::LoadTracker;
 use crate::process::forwarding::peers::PeerTable;
 use crate::process::forwarding::recent_news::RecentNews;
+use crate::process::forwarding::report_sections::ReportSection;
 use crate::process::forwarding::retry_budget::HostRetryBudget;
 use crate::process::forwarding::service_queues::ServiceQueues;
 use crate::process::forwarding::settings::ForwardingSettings;
-use crate::process::forwarding::source::Reach;
+use crate::process::forwarding::source::{Reach, Source};
 use crate::process::forwarding::usage::UsageTracker;
 use crate::process::message::CrashReport;
 use crate::process::metrics;
@@ -385,6 +386,19 @@
         }
     }
 
+    /// Returns what parts add to a report that sums up the hosts within `reach`.
+    pub fn report_sections(&self, _reach: Reach, _now: Instant) -> Vec<ReportSection> {
+        Vec::new()
+    }
+
+    /// Applies a section of another host's report. `source` is what the report sums up; `None` if this host hears of it from
+    /// another source.
+    pub fn apply_section(&self, section: &ReportSection, _source: Option<&Source>, _now: Instant) {
+        match section {
+            ReportSection::StoreGeneration(_) => {}
+        }
+    }
+
     /// Sets the time after which other hosts' calls are reported to this one.
     pub fn set_report_delay(&self, delay: Duration) {
         *lock(&self.report_delay) = delay;
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -12,13 +12,14 @@
 use crate::process::forwarding::relays::{
     ExchangePlan, RankedHost, RelayPlanner, Role, relay_rank,
 };
+use crate::process::forwarding::report_sections::ReportSection;
 use crate::process::forwarding::source::{Reach, Source};
 use crate::process::forwarding::usage::UsageTotals;
 use crate::process::message::CrashReport;
 
 /// The state of a host, or the sum of several hosts that a relay has heard of. Each report replaces the previous one of the same
 /// sender and reach, so that a lost report does no harm.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HostReport {
     /// The host that reports.
     pub sender: Registration,
@@ -50,6 +51,9 @@
     pub crashes: Vec<CrashReport>,
     /// The newest changes of the list of upstreams; `None` if the receivers read the list themselves.
     pub list: Option<ListNews>,
+    /// What follows the report in the form that all builds know.
+    #[serde(skip)]
+    pub sections: Vec<ReportSection>,
 }
 
 /// A host's entry in the store.
--- a/src/process/forwarding/report_exchange.rs
+++ b/src/process/forwarding/report_exchange.rs
@@ -215,6 +215,7 @@
             list: (role != Role::Direct)
                 .then(|| state.list_news(now))
                 .flatten(),
+            sections: state.report_sections(reach, now),
         }
     }
 
@@ -243,8 +244,12 @@
             }
             peers.role()
         };
-        if let Some(source) = self.source_of(report, role) {
-            self.apply_sums(&source, report, now);
+        let source = self.source_of(report, role);
+        if let Some(source) = &source {
+            self.apply_sums(source, report, now);
+        }
+        for section in &report.sections {
+            self.state.apply_section(section, source.as_ref(), now);
         }
         // Only what hosts of the same data centre found themselves is news for the relays of others.
         let is_neighbour = sender.data_centre == self.own.data_centre;
--- /dev/null
+++ b/src/process/forwarding/report_sections.rs
@@ -0,0 +1,13 @@
+//! What parts of a forwarding host add to its reports to other hosts.
+//!
+//! A report keeps its form; sections follow it. A host skips the sections that it doesn't know, so that hosts of different builds
+//! understand each other's reports.
+
+use crate::prelude::*;
+
+/// The state of one part, as a report carries it. The sender leaves a section out that says nothing.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReportSection {
+    /// The newest generation of the store that the sender knows of.
+    StoreGeneration(Generation),
+}
--- a/src/process/ids.rs
+++ b/src/process/ids.rs
@@ -33,6 +33,8 @@
 pub type Epoch = u64;
 /// The revision of the last write to a store entry.
 pub type Revision = u64;
+/// How often the store has come back from a copy of earlier state, as it tells; 0 for a store that doesn't tell.
+pub type Generation = u64;
 /// The id of a lease, assigned by the store.
 pub type LeaseId = u64;
 /// A part of a customer's rate or burst, in parts per million.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -23,6 +23,8 @@
 pub const CONFIG_READS: &str = "hibiscusspread_config_reads_total";
 /// Reports of other hosts dropped because they can't be decoded.
 pub const REPORTS_DROPPED: &str = "hibiscusspread_reports_dropped_total";
+/// Sections of other hosts' reports dropped because they can't be decoded or used, by `reason`.
+pub const REPORT_SECTIONS_DROPPED: &str = "hibiscusspread_report_sections_dropped_total";
 /// Log lines dropped because standard output was read too slowly.
 pub const LOG_LINES_DROPPED: &str = "hibiscusspread_log_lines_dropped_total";
 /// Violations of invariants that the program checks at run time, by `invariant`; must stay 0.
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -483,6 +483,7 @@
         has_on_time: false,
         crashes: Vec::new(),
         list: None,
+        sections: Vec::new(),
     }
 }
 
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -27,6 +27,7 @@
 mod forward_path;
 mod forward_relay_fleet;
 mod forward_relays;
+mod forward_report_codec;
 mod forward_reservations;
 mod forward_store_watchers;
 mod forward_usage;
