--- a/tests/suite/forward_report_codec.rs
+++ b/tests/suite/forward_report_codec.rs
@@ -1,5 +1,6 @@
 //! The encoding of reports between hosts and of the sections that follow them.
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -38,7 +39,10 @@
 const BYTES_WITHOUT_SECTIONS: &str = "06686f73742d61007f0000010907017878000301fc0065cd1d020001000105636f617374fc701101000afc803801000103652d3102fb2823fb2c01000103652d32fd0068e5cf8b010000010000";
 
 fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
 }
 
 /// Guards against a report that hosts of an earlier build can't decode although no part has anything to add.
