Let few hosts read the list of upstreams in fleets without relays

Cause: each of 62 hosts read the list every 2.4 s, six in ten of all calls of the store; while the store was down each host called it every second for each of its tasks. Change: the live host ranked first reads the list when it is 0.8 s old and tells the others, the next ones step in 0.1 s later each. While the store is down, four hosts go on calling it every second, the others every 4 s unless a report names something newer.

--- a/src/process/forwarding.rs
+++ b/src/process/forwarding.rs
@@ -3,6 +3,7 @@
 pub mod directory;
 pub mod fleet;
 pub mod host;
+pub mod list_schedule;
 pub mod load;
 pub mod peers;
 pub mod recent_news;
--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -143,6 +143,8 @@
     outage_ended: Option<Instant>,
     /// When the last list was requested from the store, by this host or the one whose news it applied.
     last_listed: Option<Instant>,
+    /// When this host itself requested its last list.
+    last_read: Option<Instant>,
     /// The revision of the store up to which the list is complete.
     revision: Revision,
     /// The digest of the list, see `ListNews`.
@@ -176,6 +178,7 @@
             is_store_down: false,
             outage_ended: None,
             last_listed: None,
+            last_read: None,
             revision: 0,
             digest: 0,
             changes: VecDeque::new(),
@@ -247,6 +250,7 @@
         }
         self.instances = next;
         self.last_listed = Some(requested_at);
+        self.last_read = Some(requested_at);
         self.marked.retain(|_, (_, at)| *at >= requested_at);
         self.leaving.retain(|id, (_, at)| {
             // The entry of one that leaves may lapse during an outage and come back.
@@ -275,6 +279,16 @@
         })
     }
 
+    /// Returns whether this host read the newest list that it knows of itself, within `change_report_ttl`. Only such a host need tell
+    /// the others of it.
+    pub fn is_newest_reader(&self, now: Instant) -> bool {
+        let ttl = self.settings.change_report_ttl;
+        self.last_read == self.last_listed
+            && self
+                .last_read
+                .is_some_and(|at| now.saturating_duration_since(at) < ttl)
+    }
+
     /// Returns whether applying news that arrived at `now` would change nothing.
     pub fn is_known(&self, news: &ListNews, now: Instant) -> bool {
         let age = self.last_listed.map(|at| now.saturating_duration_since(at));
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -13,6 +13,7 @@
 use crate::process::forwarding::load::LoadTracker;
 use crate::process::forwarding::peers::PeerTable;
 use crate::process::forwarding::recent_news::RecentNews;
+use crate::process::forwarding::relays::Role;
 use crate::process::forwarding::report_sections::ReportSection;
 use crate::process::forwarding::retry_budget::HostRetryBudget;
 use crate::process::forwarding::service_queues::ServiceQueues;
@@ -157,8 +158,12 @@
         }
     }
 
-    /// Returns the news of the list of upstreams for other hosts; `None` before the first list.
-    pub fn list_news(&self, now: Instant) -> Option<ListNews> {
+    /// Returns the news of the list of upstreams for other hosts in a report of a host with this `role`; `None` before the first
+    /// list. Where all hosts report to each other, only the one that read the newest list tells of it.
+    pub fn list_news(&self, role: Role, now: Instant) -> Option<ListNews> {
+        if role == Role::Direct && !self.with_directory(|d| d.is_newest_reader(now)) {
+            return None;
+        }
         self.change_directory(|d| d.news(now))
     }
 
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -423,13 +423,20 @@
 
     /// Returns whether fewer than `count` live hosts rank before `own`, in the fleet or, at a relay, in its data centre.
     pub fn is_among_first(&self, own: &Registration, count: usize, now: Instant) -> bool {
+        self.live_before(own, now).count() < count
+    }
+
+    /// Returns the live hosts that rank before `own`, in the fleet or, at a relay, in its data centre.
+    pub fn live_before(&self, own: &Registration, now: Instant) -> impl Iterator<Item = &HostId> {
         let own_rank = relay_rank(&own.host, own.capacity);
-        let is_before = |(id, peer): &(&HostId, &Peer)| {
+        let neighbours_only = self.role == Role::Relay;
+        let data_centre = own.data_centre.clone();
+        let before = self.peers.iter().filter(move |(id, peer)| {
             peer.is_live(now)
-                && (self.role != Role::Relay || peer.data_centre == own.data_centre)
+                && (!neighbours_only || peer.data_centre == data_centre)
                 && relay_rank(id, peer.capacity) < own_rank
-        };
-        self.peers.iter().filter(is_before).count() < count
+        });
+        before.map(|(id, _)| id)
     }
 
     /// Returns the number of other hosts that are live.
--- a/src/process/forwarding/report_exchange.rs
+++ b/src/process/forwarding/report_exchange.rs
@@ -212,9 +212,7 @@
             left: state.recently_left(reach, now),
             has_on_time: others_on_time || state.queues.has_on_time_waiter(now),
             crashes: state.recent_crashes(reach, now),
-            list: (role != Role::Direct)
-                .then(|| state.list_news(now))
-                .flatten(),
+            list: state.list_news(role, now),
             sections: state.report_sections(reach, now),
         }
     }
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::process::forwarding::directory::DirectorySettings;
+use crate::process::forwarding::list_schedule::ListSchedule;
 use crate::process::forwarding::load::LoadSettings;
 use crate::process::forwarding::report_exchange::ExchangeSettings;
 use crate::process::forwarding::retry_budget::RetryBudgetSettings;
@@ -18,14 +19,8 @@
 pub struct ForwardingSettings {
     /// The address of the platform's store.
     pub store_address: SocketAddr,
-    /// The shortest time between two reads of the list of upstreams. An upstream that leaves must get no new work after two
-    /// seconds; with this interval, one read may fail.
-    pub directory_interval: Duration,
-    /// The time between two reads per other live host. All of them read the list and report what has left, so each may read less
-    /// often.
-    pub directory_interval_per_host: Duration,
-    /// The longest time between two reads of the list of upstreams.
-    pub max_directory_interval: Duration,
+    /// When the list of upstreams is read.
+    pub list: ListSchedule,
     /// The time between two reads of the list of hosts. Hosts report their start and their stop to the others, so the list is only
     /// needed to find hosts that are gone without having reported it.
     pub host_list_interval: Duration,
@@ -45,12 +40,14 @@
     /// The upper bound of that time. With the time limit of a call that has waited in vain, it must stay below the time after an
     /// outage of the store from which a configuration must be in force.
     pub max_store_backoff: Duration,
+    /// The upper bound for hosts that hear `store_probers` hosts ranked before them, which report what they read. Two calls still fit
+    /// into the time to live of a registration.
+    pub max_member_store_backoff: Duration,
+    /// The number of the first hosts that go on calling a store that is down every `max_store_backoff`; some of them may be cut off
+    /// from the store.
+    pub store_probers: usize,
     /// The time to live of this host's registration, which is renewed after each half of it.
     pub registration_ttl: Duration,
-    /// The spread of the relays' reads of the list of upstreams after `directory_interval`.
-    pub relay_list_spread: Duration,
-    /// The spread of the reads by hosts that hear nothing of the list from relays, after `max_directory_interval`.
-    pub member_list_spread: Duration,
     /// How often hosts report to each other, and through how many relays.
     pub exchange: ExchangeSettings,
     /// The share of a processor that this host has, in thousandths of a core; hosts with more become relays first.
@@ -84,9 +81,7 @@
     fn default() -> Self {
         Self {
             store_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
-            directory_interval: Duration::from_millis(800),
-            directory_interval_per_host: Duration::from_millis(60),
-            max_directory_interval: Duration::from_millis(2400),
+            list: ListSchedule::default(),
             host_list_interval: Duration::from_secs(10),
             second_host_list_delay: Duration::from_millis(1500),
             watch_wait: Duration::from_secs(12),
@@ -94,9 +89,9 @@
             config_sentinels: 3,
             store_backoff: Duration::from_millis(200),
             max_store_backoff: Duration::from_secs(1),
+            max_member_store_backoff: Duration::from_secs(4),
+            store_probers: 4,
             registration_ttl: Duration::from_secs(15),
-            relay_list_spread: Duration::from_millis(1200),
-            member_list_spread: Duration::from_secs(2),
             exchange: ExchangeSettings::default(),
             capacity: 1000,
             grace: Duration::from_secs(8),
@@ -124,7 +119,10 @@
                 "an address such as 10.1.0.2:9000",
                 defaults.store_address,
             ),
-            directory_interval: fields.duration("directory_interval", defaults.directory_interval),
+            list: ListSchedule {
+                interval: fields.duration("directory_interval", defaults.list.interval),
+                ..defaults.list.clone()
+            },
             watch_wait: fields.duration("watch_wait", defaults.watch_wait),
             registration_ttl: fields.duration("registration_ttl", defaults.registration_ttl),
             grace: fields.duration("grace", defaults.grace),
--- a/src/process/forwarding/store_watchers.rs
+++ b/src/process/forwarding/store_watchers.rs
@@ -50,7 +50,6 @@
 /// An exponential backoff with jitter, so that hosts don't retry in step after an outage.
 struct Backoff {
     min: Duration,
-    max: Duration,
     next: Duration,
     /// Whether the last call failed, to log the loss and the recovery once each.
     is_failing: bool,
@@ -62,20 +61,19 @@
     fn new(what: &'static str, settings: &ForwardingSettings) -> Self {
         Self {
             min: settings.store_backoff,
-            max: settings.max_store_backoff,
             next: settings.store_backoff,
             is_failing: false,
             what,
         }
     }
 
-    /// Records a failed call and waits until the next one.
-    async fn failed(&mut self, error: &StoreError) {
-        tokio::time::sleep(self.pause(error)).await;
+    /// Records a failed call and waits until the next one, for about `max` at most.
+    async fn failed(&mut self, error: &StoreError, max: Duration) {
+        tokio::time::sleep(self.pause(error, max)).await;
     }
 
-    /// Records a failed call and returns the time until the next one.
-    fn pause(&mut self, error: &StoreError) -> Duration {
+    /// Records a failed call and returns the time until the next one, about `max` at most.
+    fn pause(&mut self, error: &StoreError, max: Duration) -> Duration {
         if !std::mem::replace(&mut self.is_failing, true) {
             log::warn!(target: "store", "{} unavailable: {error}; the last known state stays in force", self.what);
         }
@@ -83,7 +81,7 @@
             StoreError::Throttled { retry_after } => self.next.max(*retry_after),
             _ => self.next,
         };
-        self.next = (self.next * 2).min(self.max);
+        self.next = (self.next * 2).min(max);
         wait.mul_f64(rand::random_range(0.7..1.3))
     }
 
@@ -99,35 +97,53 @@
     /// Reads the list of upstreams repeatedly until dropped.
     pub async fn poll_upstreams(&self) {
         let mut backoff = Backoff::new("list of upstreams", &self.settings);
+        let mut last_read = None;
         loop {
+            self.wait_for_next_list(last_read).await;
             let requested_at = self.clock.now();
             match self.store.list_as_of(self.codec.upstream_prefix()).await {
                 Ok(listed) => {
                     backoff.succeeded();
                     self.apply_list(&listed.value, listed.revision, requested_at);
-                    self.wait_for_next_list(requested_at).await;
+                    last_read = Some(requested_at);
                 }
                 Err(e) => {
                     self.state.record_list_failure();
-                    backoff.failed(&e).await;
+                    backoff.failed(&e, self.max_backoff()).await;
                 }
             }
         }
     }
 
-    /// Waits until the list must be read again, which this host requested last at `requested_at`. The interval is computed again
-    /// meanwhile: a host that receives nothing from the others must read the list more often, as none reports to it what has left.
-    async fn wait_for_next_list(&self, requested_at: Instant) {
+    /// Returns the longest time between two failed calls. While the store is down, the first hosts call it often and report what they
+    /// read; the others hear of that. A host that lacks something that only the store can tell it calls as often.
+    fn max_backoff(&self) -> Duration {
+        let settings = &self.settings;
+        let now = self.clock.now();
+        let lacks_state = self.state.not_ready(now).is_some() || self.state.is_config_outdated();
+        let peers = self.state.peers();
+        if lacks_state || peers.is_among_first(&self.registration, settings.store_probers, now) {
+            settings.max_store_backoff
+        } else {
+            settings.max_member_store_backoff
+        }
+    }
+
+    /// Waits until the list must be read again, which this host read last at `last_read`. The interval is computed again meanwhile: a
+    /// host that receives nothing from the others must read the list more often, as none reports to it what has left.
+    async fn wait_for_next_list(&self, last_read: Option<Instant>) {
         loop {
             let listed = self.state.with_directory(Directory::last_listed);
-            let listed = listed.map_or(requested_at, |at| at.max(requested_at));
+            let Some(listed) = listed.max(last_read) else {
+                return;
+            };
             let age = self.clock.now().saturating_duration_since(listed);
             let left = self.list_interval().saturating_sub(age);
             if left.is_zero() {
                 return;
             }
             tokio::select! {
-                () = tokio::time::sleep(left.min(self.settings.directory_interval)) => {}
+                () = tokio::time::sleep(left.min(self.settings.list.interval)) => {}
                 () = self.state.list_incomplete() => {
                     tokio::time::sleep(MAX_INCOMPLETE_DELAY.mul_f64(rand::random())).await;
                     if self.state.with_directory(Directory::last_listed) <= Some(listed) {
@@ -138,27 +154,16 @@
         }
     }
 
-    /// Returns the age of the list of upstreams at which this host reads it again. The news of other hosts makes it younger. So
-    /// that few hosts read, each waits for a different time after the interval.
+    /// Returns the age of the list of upstreams at which this host reads it again.
     fn list_interval(&self) -> Duration {
-        let settings = &self.settings;
-        let (role, live) = {
+        let (role, live_before) = {
             let peers = self.state.peers();
-            (peers.role(), peers.live_count(self.clock.now()))
+            let before = peers.live_before(&self.registration, self.clock.now());
+            (peers.role(), before.count())
         };
         let place = stable_hash(&self.registration.host) % 1000;
-        let place = place as f64 / 1000.0;
-        let (interval, spread) = match role {
-            Role::Direct => {
-                let live = u32::try_from(live).unwrap_or(u32::MAX);
-                let shared = settings.directory_interval_per_host.saturating_mul(live);
-                let longest = settings.max_directory_interval;
-                return shared.clamp(settings.directory_interval, longest);
-            }
-            Role::Relay => (settings.directory_interval, settings.relay_list_spread),
-            Role::Member => (settings.max_directory_interval, settings.member_list_spread),
-        };
-        interval + spread.mul_f64(place)
+        let schedule = &self.settings.list;
+        schedule.max_age(role, live_before, place as f64 / 1000.0)
     }
 
     /// Returns whether this host hears of changes from relays, so that it need not read the store itself.
@@ -179,11 +184,9 @@
                 }
             }
         }
-        let change = self.state.apply_list(listed, revision, requested_at);
-        let is_relay = self.state.peers().role() == Role::Relay;
-        if is_relay || !change.left.is_empty() {
-            self.state.request_report();
-        }
+        self.state.apply_list(listed, revision, requested_at);
+        // Others need not read the list while they hear that it is young.
+        self.state.request_report();
     }
 
     /// Registers this host and renews its lease until dropped; registers again after each loss of the lease.
@@ -196,7 +199,7 @@
                     self.registered.notify_one();
                     self.keep_lease(lease, &mut backoff).await;
                 }
-                Err(e) => backoff.failed(&e).await,
+                Err(e) => backoff.failed(&e, self.max_backoff()).await,
             }
         }
     }
@@ -237,7 +240,7 @@
                         break;
                     }
                     Err(StoreError::LeaseGone) => return,
-                    Err(e) => backoff.failed(&e).await,
+                    Err(e) => backoff.failed(&e, self.max_backoff()).await,
                 }
             }
         }
@@ -267,7 +270,7 @@
                     let jitter = rand::random_range(0.8..1.2);
                     tokio::time::sleep(self.host_list_interval(reads).mul_f64(jitter)).await;
                 }
-                Err(e) => backoff.failed(&e).await,
+                Err(e) => backoff.failed(&e, self.max_backoff()).await,
             }
         }
     }
--- a/src/process/forwarding/store_watchers/configuration.rs
+++ b/src/process/forwarding/store_watchers/configuration.rs
@@ -74,7 +74,9 @@
             let listed = match self.store.list_as_of(key).await {
                 Ok(listed) => listed,
                 Err(e) => {
-                    cause = self.pause_or_news(backoff.pause(&e), heard).await;
+                    cause = self
+                        .pause_or_news(backoff.pause(&e, self.max_backoff()), heard)
+                        .await;
                     continue;
                 }
             };
@@ -118,7 +120,11 @@
                     }
                     Err(StoreError::Compacted) => break ReadCause::Compacted,
                     // A change may have been missed while there was no watch; reading the configuration shows it at once.
-                    Err(e) => break self.pause_or_news(backoff.pause(&e), heard).await,
+                    Err(e) => {
+                        break self
+                            .pause_or_news(backoff.pause(&e, self.max_backoff()), heard)
+                            .await;
+                    }
                 }
             };
         }
--- a/src/process/forwarding/store_watchers/crashing_parts.rs
+++ b/src/process/forwarding/store_watchers/crashing_parts.rs
@@ -26,7 +26,7 @@
         let entries = loop {
             match self.store.list(PART_PREFIX).await {
                 Ok(entries) => break entries,
-                Err(e) => backoff.failed(&e).await,
+                Err(e) => backoff.failed(&e, self.max_backoff()).await,
             }
         };
         backoff.succeeded();
@@ -41,7 +41,7 @@
                             backoff.succeeded();
                             break;
                         }
-                        Err(e) => backoff.failed(&e).await,
+                        Err(e) => backoff.failed(&e, self.max_backoff()).await,
                     }
                 }
             }
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -23,6 +23,7 @@
 use hibiscusspread::platform;
 use hibiscusspread::prelude::*;
 use hibiscusspread::process::forwarding::host::ForwardHost;
+use hibiscusspread::process::forwarding::list_schedule::ListSchedule;
 use hibiscusspread::process::forwarding::settings::ForwardingSettings;
 use hibiscusspread::process::settings::{PeerSettings, Settings};
 use hibiscusspread::process::shard::lock;
@@ -694,7 +695,10 @@
             ..Settings::default()
         };
         let forwarding = ForwardingSettings {
-            directory_interval: Duration::from_millis(50),
+            list: ListSchedule {
+                interval: Duration::from_millis(50),
+                ..ListSchedule::default()
+            },
             grace: Duration::from_secs(3),
             drain_delay: Duration::from_millis(200),
             ..forwarding
