Confine requests to the regions of their route and customer

Routes and tenants may list allowedRegions, which hosts ignored.

Choices of upstreams for calls, prefills, generations and resumed streams leave out those outside of the homes of the route and the customer; where both have a list, both apply. A request that no upstream in its homes could take is refused as not run before it is charged. Requests with homes wait in a queue of their own, as one that waits for its region would hold up others that may go elsewhere.

Requests without homes are served as before.

--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -19,7 +19,7 @@
 use crate::process::forwarding::report_sections::ReportSection;
 use crate::process::forwarding::retry_budget::HostRetryBudget;
 use crate::process::forwarding::service_queues::ServiceQueues;
-use crate::process::forwarding::settings::ForwardingSettings;
+use crate::process::forwarding::settings::{ForwardingSettings, Regions};
 use crate::process::forwarding::source::{Reach, Source};
 use crate::process::forwarding::usage::UsageTracker;
 use crate::process::message::CrashReport;
@@ -48,6 +48,8 @@
     pub usage: UsageTracker,
     /// This host's share of the fleet's retries.
     pub retries: HostRetryBudget,
+    /// The regions of data centres.
+    pub regions: Regions,
     /// The requests that wait for free memory at engines.
     pub queues: Arc<ServiceQueues>,
     directory: ShardedLock<Directory>,
@@ -87,6 +89,7 @@
             loads: LoadTracker::new(settings.load.clone()),
             usage: UsageTracker::new(settings.usage.clone()),
             retries: HostRetryBudget::new(settings.retries.clone()),
+            regions: settings.regions.clone(),
             queues: Arc::default(),
             directory: ShardedLock::new(Directory::new(settings.directory.clone())),
             evacuations: Mutex::default(),
--- a/src/process/forwarding/fleet/evacuations.rs
+++ b/src/process/forwarding/fleet/evacuations.rs
@@ -105,7 +105,8 @@
     /// Logs each evacuated data centre that does not exist, once, and returns those that it logs. Nothing is excluded for them.
     pub(super) fn log_unknown_evacuations(&self) -> Vec<DataCentreId> {
         let is_any_evacuated = !lock(&self.evacuations).evacuated().is_empty();
-        if !is_any_evacuated || self.with_directory(Directory::last_listed).is_none() {
+        let is_listed = || self.with_directory(Directory::last_listed).is_some();
+        if !is_any_evacuated || (self.regions.is_empty() && !is_listed()) {
             return Vec::new();
         }
         let known = self.known_data_centres();
@@ -120,6 +121,7 @@
     fn known_data_centres(&self) -> BTreeSet<DataCentreId> {
         let mut known = self.with_directory(Directory::data_centres);
         known.append(&mut self.peers().data_centres());
+        known.extend(self.regions.keys().cloned());
         known
     }
 
--- a/src/process/forwarding/service_queues.rs
+++ b/src/process/forwarding/service_queues.rs
@@ -11,6 +11,9 @@
 use crate::process::forwarding::wait_queue::{WaitQueue, Waiter, WaiterId};
 use crate::process::shard::Shards;
 
+/// Names a queue: the service or, for requests that are confined to regions, the service and these regions.
+pub type QueueId = Name;
+
 /// The queue of one service, with a waker for each request in it.
 #[derive(Debug, Default)]
 struct ServiceQueue {
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -1,8 +1,10 @@
 //! The section `[forwarding]` of the settings file, and the defaults of what it does not set.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use crate::prelude::*;
 use crate::process::forwarding::directory::DirectorySettings;
 use crate::process::forwarding::load::LoadSettings;
 use crate::process::forwarding::report_exchange::ExchangeSettings;
@@ -13,6 +15,9 @@
 use crate::request::forward::settings::ForwardSettings;
 use crate::version::fields::Fields;
 
+/// The regions of data centres. One that is missing is of unknown region.
+pub type Regions = BTreeMap<DataCentreId, RegionId>;
+
 /// The settings of a forwarding host. Only some can be set in a file, see `ForwardingSettings::read`.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ForwardingSettings {
@@ -78,6 +83,8 @@
     pub first_start: bool,
     /// The shortest time between stage orders of two hosts.
     pub order_quiet: Duration,
+    /// The regions of data centres, from the section `[regions]` and the host's own region.
+    pub regions: Regions,
 }
 
 impl Default for ForwardingSettings {
@@ -110,6 +117,7 @@
             stage_plan: StagePlanSettings::default(),
             first_start: false,
             order_quiet: Duration::from_secs(3),
+            regions: Regions::new(),
         }
     }
 }
--- a/src/process/forwarding/store_watchers/configuration.rs
+++ b/src/process/forwarding/store_watchers/configuration.rs
@@ -147,6 +147,16 @@
         }
     }
 
+    /// Logs the regions to which requests are confined and in which there is no data centre.
+    fn log_empty_homes(&self, version: Version, homes: &BTreeSet<RegionId>) {
+        let regions = &self.state.regions;
+        let is_empty = |home: &&RegionId| !regions.values().any(|region| region == *home);
+        let empty: Vec<_> = homes.iter().filter(is_empty).cloned().collect();
+        if !empty.is_empty() {
+            log::warn!(target: "config", "version {version} confines requests to regions without a data centre: {}", empty.join(", "));
+        }
+    }
+
     /// Returns the data centre that an entry under `key` asks to evacuate. A key that should name one and does not is logged once.
     fn evacuated_data_centre(&self, key: &str) -> Option<DataCentreId> {
         match self.codec.evacuated_data_centre(key)? {
@@ -232,11 +242,13 @@
         match self.codec.read_configuration(&entry.value) {
             Ok(table) => {
                 let (version, routes) = (table.version, table.route_count());
+                let homes = table.home_regions();
                 let now = self.clock.now();
                 let customers = table.customers.values().map(|customer| &**customer);
                 self.state.usage.add_customers(customers, now);
                 if self.state.config.advance(table) {
                     log::info!(target: "config", "version {version} in force: {routes} routes, revision {}, {learned}", entry.revision);
+                    self.log_empty_homes(version, &homes);
                 }
             }
             Err(e) => {
--- a/src/process/ids.rs
+++ b/src/process/ids.rs
@@ -8,6 +8,8 @@
 pub type HostId = Name;
 /// The name of a data centre, as listed in the configuration.
 pub type DataCentreId = Name;
+/// A region: the part of the world that a data centre is in, by which operators confine requests.
+pub type RegionId = Name;
 /// A customer whose requests are limited and accounted together.
 pub type CustomerId = Name;
 /// An upstream: an engine or a runner of a plain service.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -30,6 +30,8 @@
 /// Requests to evacuate a data centre, and other hosts' news of them, that are ignored, by `reason`: `malformed`, `unknown` or
 /// `refuted`.
 pub const EVACUATIONS_IGNORED: &str = "hibiscusspread_evacuations_ignored_total";
+/// Refusals because all upstreams that could take a request are excluded, by `reason`: `evacuated` or `homes`.
+pub const REACH_REFUSALS: &str = "hibiscusspread_reach_refusals_total";
 /// Log lines dropped because standard output was read too slowly.
 pub const LOG_LINES_DROPPED: &str = "hibiscusspread_log_lines_dropped_total";
 /// Violations of invariants that the program checks at run time, by `invariant`; must stay 0.
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -8,7 +8,7 @@
 use crate::connection::caller_listener::CallerSettings;
 use crate::prelude::*;
 use crate::process::distribution::freshness::DEFAULT_KEY_TRUST;
-use crate::process::forwarding::settings::ForwardingSettings;
+use crate::process::forwarding::settings::{ForwardingSettings, Regions};
 use crate::process::node::external::StaticWeightStore;
 use crate::process::placement::{JointPolicy, LeastLoadedPolicy, Policy, RoundRobinPolicy};
 use crate::process::pool::settings::PlacementSettings;
@@ -30,6 +30,7 @@
     "weights",
     "log",
     "forwarding",
+    "regions",
 ];
 
 /// The placement policies by their names in settings.
@@ -99,6 +100,8 @@
     pub host: HostId,
     /// The data centre that this host runs in.
     pub data_centre: DataCentreId,
+    /// The region of its data centre; `None` if it is not known. The section `[regions]` takes precedence.
+    pub region: Option<RegionId>,
     /// The address that the callers' listener binds.
     pub callers_address: SocketAddr,
     /// The limits on callers' connections and bodies.
@@ -137,6 +140,7 @@
         Self {
             host: "host-1".into(),
             data_centre: "a".into(),
+            region: None,
             callers_address: loopback(8080),
             callers: CallerSettings::default(),
             operators_address: None,
@@ -181,6 +185,7 @@
     pub fn parse(source: &str, text: &str) -> Result<Self, Vec<Problem>> {
         let ini = parse_ini(source, text).map_err(|problem| vec![problem])?;
         let mut problems = Vec::new();
+        let mut regions = Regions::new();
         let operators = SocketAddr::from((Ipv4Addr::LOCALHOST, 8081));
         let mut settings = Self {
             operators_address: Some(operators),
@@ -212,6 +217,7 @@
                 "forwarding" => {
                     settings.forwarding = Some(ForwardingSettings::read(&mut fields));
                 }
+                "regions" => regions = read_regions(&mut fields),
                 "" if properties.is_empty() => {}
                 _ => {
                     let known = SECTIONS.join(", ");
@@ -225,6 +231,13 @@
             let mut fields = Fields::new(source, "host", None, &mut problems);
             fields.problem("", "section missing; add it with name and data_centre");
         }
+        if let Some(region) = &settings.region {
+            let own = settings.data_centre.clone();
+            regions.entry(own).or_insert_with(|| region.clone());
+        }
+        if let Some(forwarding) = &mut settings.forwarding {
+            forwarding.regions = regions;
+        }
         settings.check_fleet(source, &mut problems);
         if problems.is_empty() {
             Ok(settings)
@@ -271,6 +284,8 @@
     fn read_host(&mut self, fields: &mut Fields<'_>) {
         self.host = fields.required("name").into();
         self.data_centre = fields.required("data_centre").into();
+        let region = fields.text("region").filter(|region| !region.is_empty());
+        self.region = region.map(RegionId::from);
         self.drain_delay = fields.duration("drain_delay", self.drain_delay);
     }
 
@@ -323,6 +338,15 @@
     }
 }
 
+/// Reads the regions of data centres. One without a value is of unknown region.
+fn read_regions(fields: &mut Fields<'_>) -> Regions {
+    let entries = fields.entries().into_iter();
+    let known = entries.filter(|(_, region)| !region.is_empty());
+    known
+        .map(|(name, region)| (name.into(), region.into()))
+        .collect()
+}
+
 fn read_peer(fields: &mut Fields<'_>) -> PeerSettings {
     let defaults = PeerSettings::default();
     let file = fields.text("secret_file");
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -367,12 +367,13 @@
     }
 }
 
-/// Chooses an upstream of `service` for `requirements` among those that run one of `stages`, hold `model` and pass `accept`.
+/// Chooses an upstream of `service` for `requirements` among those that run one of `stages`, hold the model that the call needs, are in
+/// one of its homes and pass `accept`.
 pub fn choose_upstream(
     cx: &ForwardContext,
+    call: &Call,
     service: &ModelId,
     stages: &[Stage],
-    model: Option<&Name>,
     requirements: &Requirements,
     accept: impl Fn(&Candidate) -> bool,
 ) -> Option<Candidate> {
@@ -381,7 +382,9 @@
     let is_suitable = |instance: &&Arc<Instance>| {
         let has_model =
             |model: &Name| instance.models.is_empty() || instance.models.contains(model);
-        stages.contains(&instance.stage) && model.is_none_or(has_model)
+        stages.contains(&instance.stage)
+            && call.head.model.as_ref().is_none_or(has_model)
+            && call.may_reach(&instance.data_centre, &cx.state.regions)
     };
     let candidates: Vec<_> = upstreams
         .iter()
--- a/src/request/forward/call.rs
+++ b/src/request/forward/call.rs
@@ -9,8 +9,9 @@
 use smallvec::SmallVec;
 
 use crate::prelude::*;
+use crate::process::forwarding::settings::Regions;
 use crate::process::quarantine::{fingerprint, part_fingerprint};
-use crate::version::forwarding::{ForwardCustomer, ForwardRoute};
+use crate::version::forwarding::{ForwardCustomer, ForwardRoute, Homes};
 
 /// The token counts that a request states.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,6 +103,27 @@
         parts.map(|part| part_fingerprint(model, part)).collect()
     }
 
+    /// Returns the regions to which the request is confined by its route, its customer or both; `None` for all.
+    pub fn homes(&self) -> Option<Homes> {
+        let customer = self.customer.as_ref();
+        match (&self.route.homes, customer.and_then(|c| c.homes.as_ref())) {
+            (Some(route), Some(customer)) => Some(route.common(customer)),
+            (route, customer) => route.as_ref().or(customer).cloned(),
+        }
+    }
+
+    /// Returns whether the request, or memory with its prompt, may be at an upstream in `data_centre`. One of unknown region is in no
+    /// home.
+    pub fn may_reach(&self, data_centre: &DataCentreId, regions: &Regions) -> bool {
+        let customer = self.customer.as_ref();
+        let customer = customer.and_then(|customer| customer.homes.as_ref());
+        let mut homes = self.route.homes.iter().chain(customer);
+        homes.all(|homes| {
+            let region = regions.get(data_centre);
+            region.is_some_and(|region| homes.contains(region))
+        })
+    }
+
     /// Returns the priority; 0 is the most urgent.
     pub fn priority(&self) -> u8 {
         let customer = self
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -8,10 +8,11 @@
 
 use crate::prelude::*;
 use crate::process::background::BackgroundTasks;
-use crate::process::forwarding::directory::Stage;
+use crate::process::forwarding::directory::{Instance, Stage};
 use crate::process::forwarding::fleet::FleetState;
 use crate::process::forwarding::selection::Selection;
 use crate::process::forwarding::usage::{ChargeOutcome, UsageTracker};
+use crate::process::metrics;
 use crate::request::forward::call::{Call, CallHead};
 use crate::request::forward::codec::CallCodec;
 use crate::request::forward::generation;
@@ -146,7 +147,7 @@
         return Err(Refusal::not_run(RefusalKind::Unavailable, message)
             .with_retry_after(cx.settings.retry_after));
     };
-    check_reach(cx, service)?;
+    check_reach(cx, call, service)?;
     let charged = charge(cx, call, record).await?;
     let table = cx.state.config.current();
     cx.state.retries.record_request(service, now);
@@ -197,21 +198,37 @@
     Err(refusal.with_retry_after(STOPPING_RETRY_AFTER))
 }
 
-/// Checks that the request may reach an upstream of the service, unless the service has none at all.
+/// Checks that not all upstreams that could take the request are excluded: by its homes, or because their data centres are evacuated.
 ///
 /// # Errors
-/// Returns `Unavailable` if all upstreams that take new work are in evacuated data centres.
-pub fn check_reach(cx: &ForwardContext, service: &ModelId) -> Result<(), Refusal> {
+/// Returns `Unavailable` if they are.
+pub fn check_reach(cx: &ForwardContext, call: &Call, service: &ModelId) -> Result<(), Refusal> {
     let upstreams = cx.state.available_upstreams(service);
-    let serves = upstreams.iter().any(|u| u.stage != Stage::Prefill);
-    if serves || !cx.state.with_directory(|d| d.has_evacuated(service)) {
+    let can_serve = |upstream: &Arc<Instance>| {
+        upstream.stage != Stage::Prefill && call.may_reach(&upstream.data_centre, &cx.state.regions)
+    };
+    if upstreams.iter().any(can_serve) {
         return Ok(());
     }
-    let message = "all data centres with upstreams for the request are evacuated; repeat after the time in Retry-After";
-    let evacuated = cx.state.evacuated_data_centres();
+    let homes = call.homes();
+    let is_evacuated = cx.state.with_directory(|d| d.has_evacuated(service));
+    let (reason, message) = match &homes {
+        Some(_) => (
+            "homes",
+            "no upstream in a region that the request may run in takes new work; repeat after the time in Retry-After",
+        ),
+        None if is_evacuated => (
+            "evacuated",
+            "all data centres with upstreams for the request are evacuated; repeat after the time in Retry-After",
+        ),
+        None => return Ok(()),
+    };
+    ::metrics::counter!(metrics::REACH_REFUSALS, "reason" => reason).increment(1);
+    let homes = homes.map_or("all".to_owned(), |homes| homes.regions().join(","));
+    let evacuated = cx.state.evacuated_data_centres().join(",");
     Err(Refusal::not_run(RefusalKind::Unavailable, message)
         .with_retry_after(cx.settings.retry_after)
-        .with_figures(format!("evacuated={}", evacuated.join(","))))
+        .with_figures(format!("homes={homes} evacuated={evacuated}")))
 }
 
 /// Checks that neither equal requests nor a part of the prompt have crashed too many upstreams.
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -14,6 +14,7 @@
 use crate::process::forwarding::directory::Stage;
 use crate::process::forwarding::load::CallOutcome;
 use crate::process::forwarding::selection::{Candidate, Purpose, Requirements};
+use crate::process::forwarding::service_queues::QueueId;
 use crate::request::forward::attempt::{
     Attempt, AttemptFailure, CalledAddresses, SendOptions, choose_upstream, describe_choice,
 };
@@ -26,13 +27,15 @@
 use crate::request::forward::record::ForwardRecord;
 use crate::request::forward::stream::EventRelay;
 use crate::request::forward::transport::UpstreamBody;
-use crate::version::forwarding::{EngineLimits, RepeatPolicy};
+use crate::version::forwarding::{EngineLimits, Homes, RepeatPolicy};
 
 /// The attempts of one generation. A stream that breaks off makes further ones.
 pub struct Generation {
     cx: Arc<ForwardContext>,
     call: Arc<Call>,
     service: ModelId,
+    /// The queue in which the request waits for engine memory.
+    queue: QueueId,
     engine: EngineLimits,
     tried: SmallVec<[UpstreamId; 4]>,
     called: CalledAddresses,
@@ -61,6 +64,7 @@
         cx: cx.clone(),
         call: call.clone(),
         service: service.clone(),
+        queue: queue_of(service, call.homes().as_ref()),
         engine,
         tried: SmallVec::new(),
         called: CalledAddresses::default(),
@@ -72,7 +76,7 @@
     let hold_time = cx
         .state
         .queues
-        .predicted_hold_time(service, generation.output_tokens());
+        .predicted_hold_time(&generation.queue, generation.output_tokens());
     check_drain_deadline(cx, hold_time)?;
     let capacity = generation.wait_for_capacity(record).await?;
     // Equal requests may have crashed engines meanwhile.
@@ -127,6 +131,15 @@
     Err(generation.refusal(&last_failure))
 }
 
+/// Returns the queue of requests for `service` that are confined to `homes`. They wait apart from the others, as the first of a queue
+/// would otherwise hold up others that may go where there is room.
+fn queue_of(service: &ModelId, homes: Option<&Homes>) -> QueueId {
+    match homes {
+        Some(homes) => format!("{service} in {}", homes.regions().join(",")).into(),
+        None => service.clone(),
+    }
+}
+
 /// Why a decode call got no response.
 pub enum DecodeFailure {
     /// No engine is left to try, or the retry budget is used up.
@@ -155,7 +168,7 @@
         let held = now.saturating_duration_since(sent_at);
         state
             .queues
-            .record_hold_time(&self.service, held, self.output_tokens());
+            .record_hold_time(&self.queue, held, self.output_tokens());
         state.record_sound_parts(&self.call.part_fingerprints(), sent_at, now);
     }
 
@@ -204,12 +217,11 @@
             Purpose::Prefill => &[Stage::Prefill],
             Purpose::Decode | Purpose::Call => &[Stage::Decode, Stage::Whole],
         };
-        let model = self.call.head.model.as_ref();
         choose_upstream(
             &self.cx,
+            &self.call,
             &self.service,
             stages,
-            model,
             &requirements,
             accept,
         )
--- a/src/request/forward/generation/capacity.rs
+++ b/src/request/forward/generation/capacity.rs
@@ -47,7 +47,7 @@
         let queues = &cx.state.queues;
         let on_time_deadline = self.on_time_deadline();
         let mut wait_reason = WaitReason::OthersAhead;
-        if queues.is_empty(&self.service) {
+        if queues.is_empty(&self.queue) {
             match self.reserve(on_time_deadline, record).await {
                 Ok(capacity) => return Ok(capacity),
                 Err(reason) => wait_reason = reason,
@@ -61,7 +61,7 @@
             tokens: self.expected_kv_tokens(),
         };
         record.note(format_args!("waits for capacity: {}", wait_reason.name()));
-        let entry = queues.enqueue(&self.service, waiter, &cx.clock);
+        let entry = queues.enqueue(&self.queue, waiter, &cx.clock);
         cx.state.request_report();
         loop {
             if entry.is_head() {
@@ -77,7 +77,7 @@
                     Err(_) => {}
                 }
             }
-            check_reach(&cx, &self.service)?;
+            check_reach(&cx, &self.call, &self.service)?;
             let now = cx.clock.now();
             if now >= wait_deadline {
                 let last = format!("no engine had room: {}", wait_reason.name());
@@ -131,6 +131,10 @@
         let engines = upstreams
             .iter()
             .filter(|upstream| upstream.stage != Stage::Prefill)
+            .filter(|upstream| {
+                self.call
+                    .may_reach(&upstream.data_centre, &cx.state.regions)
+            })
             .count();
         if engines == 0 {
             return Err(self.refusal("no engine takes new work"));
@@ -141,7 +145,7 @@
         let wait = cx
             .state
             .queues
-            .predicted_wait(&self.service, tokens, kv_tokens, hosts);
+            .predicted_wait(&self.queue, tokens, kv_tokens, hosts);
         let now = cx.clock.now();
         let left = self.call.deadline.saturating_duration_since(now);
         let waited = now.saturating_duration_since(self.call.arrived);
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -133,12 +133,11 @@
             report_delay: self.cx.state.report_delay(),
         };
         let stages = [Stage::Whole, Stage::Decode];
-        let model = self.call.head.model.as_ref();
         choose_upstream(
             self.cx,
+            self.call,
             self.service,
             &stages,
-            model,
             &requirements,
             |candidate| !self.tried.contains(&candidate.instance.id),
         )
--- a/src/version/fields.rs
+++ b/src/version/fields.rs
@@ -95,6 +95,20 @@
         Some(value)
     }
 
+    /// Reads all keys of a section whose keys are names, each with its value. Records a problem for each key given more than once.
+    pub fn entries(&mut self) -> Vec<(&'a str, &'a str)> {
+        let mut entries: Vec<(&str, &str)> = Vec::new();
+        for (key, value) in self.properties.into_iter().flat_map(Properties::iter) {
+            if self.known_keys.contains(&key) {
+                self.problem(key, "given more than once; keep one of them");
+                continue;
+            }
+            self.known_keys.push(key);
+            entries.push((key, value.trim()));
+        }
+        entries
+    }
+
     /// Reads a mandatory string; returns an empty one and records a problem if it is missing or empty.
     pub fn required(&mut self, key: &'a str) -> &'a str {
         match self.text(key) {
--- a/src/version/forwarding.rs
+++ b/src/version/forwarding.rs
@@ -1,6 +1,6 @@
 //! A configuration version for requests that are forwarded whole: routes by host name and path, services, customers.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +43,37 @@
     pub weight: u32,
 }
 
+/// The regions to which the requests of a route or a customer are confined.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Homes(SmallVec<[RegionId; 2]>);
+
+impl Homes {
+    /// Creates homes from a list of regions; `None` for an empty list, which confines nothing.
+    pub fn new(regions: impl IntoIterator<Item = RegionId>) -> Option<Self> {
+        let mut regions: SmallVec<[RegionId; 2]> = regions.into_iter().collect();
+        regions.sort();
+        regions.dedup();
+        (!regions.is_empty()).then_some(Self(regions))
+    }
+
+    /// Returns the regions in their order.
+    pub fn regions(&self) -> &[RegionId] {
+        &self.0
+    }
+
+    /// Returns whether requests may run in `region`.
+    pub fn contains(&self, region: &RegionId) -> bool {
+        self.0.contains(region)
+    }
+
+    /// Returns the regions that both lists contain, possibly none.
+    #[must_use]
+    pub fn common(&self, other: &Self) -> Self {
+        let common = self.0.iter().filter(|region| other.contains(region));
+        Self(common.cloned().collect())
+    }
+}
+
 /// A route by host name and path prefix.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ForwardRoute {
@@ -68,6 +99,8 @@
     pub priority: u8,
     /// Whether callers need no key.
     pub open: bool,
+    /// The regions to which its requests are confined; `None` for all.
+    pub homes: Option<Homes>,
 }
 
 impl ForwardRoute {
@@ -126,6 +159,8 @@
     pub charges_tokens: bool,
     /// The cost in tokens of a request that is not charged by the tokens that it states.
     pub default_cost: Tokens,
+    /// The regions to which its requests are confined; `None` for all.
+    pub homes: Option<Homes>,
 }
 
 /// The bounds on what callers send.
@@ -196,6 +231,15 @@
         self.routes.values().map(Vec::len).sum()
     }
 
+    /// Returns all regions to which requests of any route or customer are confined.
+    pub fn home_regions(&self) -> BTreeSet<RegionId> {
+        let routes = self.routes.values().flatten();
+        let homes = routes.filter_map(|route| route.homes.as_ref());
+        let customers = self.customers.values();
+        let homes = homes.chain(customers.filter_map(|customer| customer.homes.as_ref()));
+        homes.flat_map(|homes| homes.regions().to_vec()).collect()
+    }
+
     /// Returns the customer to whom the key with this hash belongs.
     pub fn customer_of(&self, key: &Digest) -> Option<&Arc<ForwardCustomer>> {
         self.customers.get(self.keys.get(key)?)
--- a/tests/suite/forward_usage.rs
+++ b/tests/suite/forward_usage.rs
@@ -37,6 +37,7 @@
         burst,
         charges_tokens: true,
         default_cost: 200,
+        homes: None,
     }
 }
 
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -36,6 +36,7 @@
 mod forward_usage;
 mod forward_wait_queue;
 mod freshness;
+mod homes;
 mod idempotency;
 mod joint_policy;
 mod journal;
