--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -1,5 +1,7 @@
 //! The state that a forwarding host shares between its requests and tasks, each part under its own lock.
 
+mod evacuations;
+
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -10,6 +12,7 @@
 use crate::process::forwarding::directory::{
     Directory, DirectoryChange, Instance, ListNews, NewsOutcome,
 };
+use crate::process::forwarding::evacuation::EvacuationState;
 use crate::process::forwarding::load::LoadTracker;
 use crate::process::forwarding::peers::PeerTable;
 use crate::process::forwarding::recent_news::RecentNews;
@@ -17,7 +20,7 @@
 use crate::process::forwarding::report_sections::ReportSection;
 use crate::process::forwarding::retry_budget::HostRetryBudget;
 use crate::process::forwarding::service_queues::ServiceQueues;
-use crate::process::forwarding::settings::ForwardingSettings;
+use crate::process::forwarding::settings::{ForwardingSettings, Regions};
 use crate::process::forwarding::source::{Reach, Source};
 use crate::process::forwarding::usage::UsageTracker;
 use crate::process::message::CrashReport;
@@ -46,9 +49,14 @@
     pub usage: UsageTracker,
     /// This host's share of the fleet's retries.
     pub retries: HostRetryBudget,
+    /// The regions of data centres.
+    pub regions: Regions,
     /// The requests that wait for free memory at engines.
     pub queues: Arc<ServiceQueues>,
     directory: ShardedLock<Directory>,
+    evacuations: Mutex<EvacuationState>,
+    /// Whether the set of evacuated data centres in force is another one than this host has read itself.
+    evacuations_unverified: watch::Sender<bool>,
     peers: Mutex<PeerTable>,
     /// The crashes by request fingerprint.
     crashes: Mutex<CrashTable>,
@@ -62,6 +70,8 @@
     crash_reports: Mutex<RecentNews<CrashReport>>,
     /// Wakes the task that reads the list of upstreams, because other hosts' news of it is incomplete.
     list_incomplete: tokio::sync::Notify,
+    /// Wakes the task that reads what operators write, because the relays may not reach the store.
+    operator_read_requested: tokio::sync::Notify,
     /// The time until which this host may not know yet whether the fleet has relays.
     starts_until: watch::Sender<Option<Instant>>,
     /// When this host gives up on requests that have no answer yet; set once it drains.
@@ -82,8 +92,11 @@
             loads: LoadTracker::new(settings.load.clone()),
             usage: UsageTracker::new(settings.usage.clone()),
             retries: HostRetryBudget::new(settings.retries.clone()),
+            regions: settings.regions.clone(),
             queues: Arc::default(),
             directory: ShardedLock::new(Directory::new(settings.directory.clone())),
+            evacuations: Mutex::default(),
+            evacuations_unverified: watch::Sender::default(),
             peers: Mutex::default(),
             crashes: Mutex::new(CrashTable::new(MAX_CRASH_FINGERPRINTS)),
             part_crashes: Mutex::new(PartTable::new(MAX_CRASH_PARTS)),
@@ -91,6 +104,7 @@
             parts_changed: tokio::sync::Notify::new(),
             crash_reports: Mutex::new(RecentNews::new(CRASH_REPORT_TTL)),
             list_incomplete: tokio::sync::Notify::new(),
+            operator_read_requested: tokio::sync::Notify::new(),
             starts_until: watch::Sender::default(),
             drain_deadline: watch::Sender::default(),
             report_delay: Mutex::default(),
@@ -139,6 +153,7 @@
     ) -> DirectoryChange {
         let change = self.change_directory(|d| d.apply(listed, revision, requested_at));
         self.follow_change(&change, requested_at);
+        self.log_unknown_evacuations();
         change
     }
 
@@ -172,6 +187,16 @@
         self.list_incomplete.notified().await;
     }
 
+    /// Has this host read what operators write to the store, although it hears relays.
+    pub fn request_operator_read(&self) {
+        self.operator_read_requested.notify_one();
+    }
+
+    /// Waits until `request_operator_read` is called.
+    pub async fn operator_read_requested(&self) {
+        self.operator_read_requested.notified().await;
+    }
+
     /// Logs what changed in the list of upstreams and adjusts the state that depends on it.
     fn follow_change(&self, change: &DirectoryChange, now: Instant) {
         for instance in &change.started {
@@ -393,14 +418,16 @@
 
     /// Returns what parts add to a report that sums up the hosts within `reach`.
     pub fn report_sections(&self, _reach: Reach, _now: Instant) -> Vec<ReportSection> {
-        Vec::new()
+        let evacuations = self.evacuation_news().map(ReportSection::Evacuations);
+        evacuations.into_iter().collect()
     }
 
     /// Applies a section of another host's report. `source` is what the report sums up; `None` if this host hears of it from
     /// another source.
-    pub fn apply_section(&self, section: &ReportSection, _source: Option<&Source>, _now: Instant) {
+    pub fn apply_section(&self, section: &ReportSection, _source: Option<&Source>, now: Instant) {
         match section {
             ReportSection::StoreGeneration(_) => {}
+            ReportSection::Evacuations(news) => self.apply_evacuation_news(news, now),
         }
     }
 
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -19,12 +19,20 @@
 pub const REQUEST_TIME: &str = "hibiscusspread_request_seconds";
 /// Calls of the platform's store by `call` and `result`.
 pub const STORE_CALLS: &str = "hibiscusspread_store_calls_total";
-/// Reads of the configuration by `cause`: `start`, `news`, `failure` or `compacted`.
+/// Reads of the configuration by `cause`: `start`, `news`, `failure`, `compacted`, `unrelayed` or
+/// `evacuations`.
 pub const CONFIG_READS: &str = "hibiscusspread_config_reads_total";
 /// Reports of other hosts dropped because they can't be decoded.
 pub const REPORTS_DROPPED: &str = "hibiscusspread_reports_dropped_total";
 /// Sections of other hosts' reports dropped because they can't be decoded or used, by `reason`.
 pub const REPORT_SECTIONS_DROPPED: &str = "hibiscusspread_report_sections_dropped_total";
+/// The number of data centres that are evacuated as this host knows.
+pub const EVACUATED_DATA_CENTRES: &str = "hibiscusspread_evacuated_data_centres";
+/// Requests to evacuate a data centre, and other hosts' news of them, that are ignored, by `reason`: `malformed`, `unknown` or
+/// `refuted`.
+pub const EVACUATIONS_IGNORED: &str = "hibiscusspread_evacuations_ignored_total";
+/// Refusals because all upstreams that could take a request are excluded, by `reason`: `evacuated` or `homes`.
+pub const REACH_REFUSALS: &str = "hibiscusspread_reach_refusals_total";
 /// Log lines dropped because standard output was read too slowly.
 pub const LOG_LINES_DROPPED: &str = "hibiscusspread_log_lines_dropped_total";
 /// Violations of invariants that the program checks at run time, by `invariant`; must stay 0.
--- a/src/request/forward/generation/capacity.rs
+++ b/src/request/forward/generation/capacity.rs
@@ -7,6 +7,7 @@
 use crate::process::forwarding::selection::{Candidate, Purpose};
 use crate::process::forwarding::wait_queue::Waiter;
 use crate::request::forward::attempt::{Attempt, AttemptFailure, describe_choice};
+use crate::request::forward::flow::check_reach;
 use crate::request::forward::generation::Generation;
 use crate::request::forward::generation::reservation::DecodeCapacity;
 use crate::request::forward::record::ForwardRecord;
@@ -46,7 +47,7 @@
         let queues = &cx.state.queues;
         let on_time_deadline = self.on_time_deadline();
         let mut wait_reason = WaitReason::OthersAhead;
-        if queues.is_empty(&self.service) {
+        if queues.is_empty(&self.queue) {
             match self.reserve(on_time_deadline, record).await {
                 Ok(capacity) => return Ok(capacity),
                 Err(reason) => wait_reason = reason,
@@ -60,7 +61,7 @@
             tokens: self.expected_kv_tokens(),
         };
         record.note(format_args!("waits for capacity: {}", wait_reason.name()));
-        let entry = queues.enqueue(&self.service, waiter, &cx.clock);
+        let entry = queues.enqueue(&self.queue, waiter, &cx.clock);
         cx.state.request_report();
         loop {
             if entry.is_head() {
@@ -76,6 +77,7 @@
                     Err(_) => {}
                 }
             }
+            check_reach(&cx, &self.call, &self.service)?;
             let now = cx.clock.now();
             if now >= wait_deadline {
                 let last = format!("no engine had room: {}", wait_reason.name());
@@ -129,6 +131,10 @@
         let engines = upstreams
             .iter()
             .filter(|upstream| upstream.stage != Stage::Prefill)
+            .filter(|upstream| {
+                self.call
+                    .may_reach(&upstream.data_centre, &cx.state.regions)
+            })
             .count();
         if engines == 0 {
             return Err(self.refusal("no engine takes new work"));
@@ -139,7 +145,7 @@
         let wait = cx
             .state
             .queues
-            .predicted_wait(&self.service, tokens, kv_tokens, hosts);
+            .predicted_wait(&self.queue, tokens, kv_tokens, hosts);
         let now = cx.clock.now();
         let left = self.call.deadline.saturating_duration_since(now);
         let waited = now.saturating_duration_since(self.call.arrived);
