Read what the platform says of cold upstreams

Cause: an upstream that has just started takes few requests; the configuration (coldS, coldPerS), registrations (coldLeftMs) and answers (X-Cold-Ms) say how many and for how long, and hosts read none of it. Change: the platform's codecs read them. What a registration says stands beside the instance, whose encoding and digest stay as they were. Nothing uses the limits yet. Result: tests of the platform's codecs pass.

--- a/src/process/forwarding/state_codec.rs
+++ b/src/process/forwarding/state_codec.rs
@@ -1,6 +1,7 @@
 //! Decodes what others write to the platform's store, behind a trait that the platform implements.
 
 use std::fmt;
+use std::time::Duration;
 
 use crate::process::forwarding::directory::Instance;
 use crate::version::forwarding::ForwardingTable;
@@ -43,6 +44,18 @@
 
 impl std::error::Error for StateError {}
 
+/// What the registration of an upstream says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegisteredUpstream {
+    /// The upstream.
+    pub instance: Instance,
+    /// The time for which it is still cold; zero if it isn't. Not a part of the instance, because it changes with each registration
+    /// and hosts compare the instances that they know.
+    pub cold_left: Duration,
+    /// Why a part of the registration was ignored, for the log.
+    pub ignored: Option<StateError>,
+}
+
 /// Knows the store keys of the configuration and the upstreams, and how their values are encoded.
 pub trait StateCodec: Send + Sync {
     /// Returns the key under which the configuration is stored.
@@ -61,5 +74,5 @@
     ///
     /// # Errors
     /// Returns a `StateError` if it does not describe a usable upstream.
-    fn read_upstream(&self, key: &str, value: &[u8]) -> Result<Instance, StateError>;
+    fn read_upstream(&self, key: &str, value: &[u8]) -> Result<RegisteredUpstream, StateError>;
 }
--- a/src/process/forwarding/store_watchers.rs
+++ b/src/process/forwarding/store_watchers.rs
@@ -171,7 +171,7 @@
         let mut listed = Vec::with_capacity(entries.len());
         for entry in entries {
             match self.codec.read_upstream(&entry.key, &entry.value) {
-                Ok(instance) => listed.push(instance),
+                Ok(registered) => listed.push(registered.instance),
                 Err(e) => {
                     if lock(&self.logged_unreadable).insert(entry.key.clone()) {
                         log::warn!(target: "upstream", "registration of an upstream under {} ignored: {e}", entry.key);
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -25,6 +25,8 @@
 pub const REPORTS_DROPPED: &str = "hibiscusspread_reports_dropped_total";
 /// Sections of other hosts' reports dropped because they can't be decoded or used, by `reason`.
 pub const REPORT_SECTIONS_DROPPED: &str = "hibiscusspread_report_sections_dropped_total";
+/// Fields and headers of others that are ignored because their value is not allowed, by `field`.
+pub const IGNORED_FIELDS: &str = "hibiscusspread_ignored_fields_total";
 /// Log lines dropped because standard output was read too slowly.
 pub const LOG_LINES_DROPPED: &str = "hibiscusspread_log_lines_dropped_total";
 /// Violations of invariants that the program checks at run time, by `invariant`; must stay 0.
--- a/src/request/forward/codec.rs
+++ b/src/request/forward/codec.rs
@@ -41,6 +41,12 @@
     /// Reads the head of an upstream's response.
     fn read_response(&self, head: &response::Parts) -> ResponseHead;
 
+    /// Reads for how long the upstream of a response is still cold; `None` if the response doesn't say.
+    ///
+    /// # Errors
+    /// Returns what is wrong with a value that is no time.
+    fn read_cold_left(&self, head: &response::Parts) -> Result<Option<Duration>, String>;
+
     /// Reads the body of the response to a prefill.
     ///
     /// # Errors
--- a/src/version/forwarding.rs
+++ b/src/version/forwarding.rs
@@ -100,8 +100,17 @@
     pub reservation_ttl: Option<Duration>,
 }
 
+/// How an upstream of a service behaves after a start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdLimits {
+    /// The time for which an upstream is cold after a start during traffic.
+    pub duration: Duration,
+    /// The requests per second that a cold upstream can take from all hosts together.
+    pub requests_per_second: f64,
+}
+
 /// A service and the capacity of its upstreams.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ForwardService {
     /// The name of the service in the configuration.
     pub id: ModelId,
@@ -109,6 +118,8 @@
     pub max_connections: u32,
     /// Its engines; `None` for a plain service.
     pub engine: Option<EngineLimits>,
+    /// What its upstreams can take after a start; `None` if they are never cold.
+    pub cold: Option<ColdLimits>,
 }
 
 /// A customer with its limits.
@@ -147,7 +158,7 @@
 }
 
 /// A configuration version, compiled into lookup tables.
-#[derive(Debug, Default, Clone, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, PartialEq)]
 pub struct ForwardingTable {
     /// The version; 0 means that there is no configuration yet.
     pub version: Version,
@@ -191,6 +202,16 @@
         same_host.iter().find(|r| path.starts_with(&r.prefix))
     }
 
+    /// Returns what the upstreams of a service can take after a start; `None` if they are never cold.
+    pub fn cold_limits(&self, service: &str) -> Option<ColdLimits> {
+        self.services.get(service)?.cold
+    }
+
+    /// Returns whether the upstreams of any service may be cold.
+    pub fn has_cold_limits(&self) -> bool {
+        self.services.values().any(|service| service.cold.is_some())
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/tests/suite/platform_codec.rs
+++ b/tests/suite/platform_codec.rs
@@ -101,7 +101,7 @@
     let read = |value: &Value| {
         PlatformStateCodec.read_upstream("servers/i-1", value.to_string().as_bytes())
     };
-    let instance = read(&registration()).expect("valid");
+    let instance = read(&registration()).expect("valid").instance;
     assert_eq!(
         (&*instance.id, instance.stage, instance.born),
         ("i-1", Stage::Decode, 9)
