Decide which hosts may send requests to a cold upstream

Cause: many hosts see an upstream that has just started empty at the same time. Change: ColdEngines holds, in shards, what a host knows of cold upstreams. Three hosts choose one, by rendezvous hash, with three passes each in any 1,150 ms, so that two groups with different lists of hosts keep the bound together. A call may claim its pass before it is sent. After the cold period the number of hosts doubles every 100 ms. Starts, statements of upstreams, returned data centres and reports of other hosts (section 3) begin a cold period; the reports are needed because the news of the list does not tell members that a known upstream is cold again. The bounds come from the settings. Requests don't ask ColdEngines yet. The property test of two groups passes, and fails when a group gets the whole bound, when claims are not counted, or without the time for late arrivals.

--- a/src/connection/forward/reports.rs
+++ b/src/connection/forward/reports.rs
@@ -11,6 +11,7 @@
 
 use crate::connection::codec;
 use crate::prelude::*;
+use crate::process::forwarding::cold::{ColdReport, MAX_REPORTED_UPSTREAMS};
 use crate::process::forwarding::peers::HostReport;
 use crate::process::forwarding::report_exchange::ReportLink;
 use crate::process::forwarding::report_sections::ReportSection;
@@ -27,6 +28,7 @@
 
 /// The numbers of sections. They are part of the protocol: a number is never given to another section.
 const STORE_GENERATION: u8 = 1;
+const COLD_ENGINES: u8 = 3;
 
 /// Encodes a report and its sections. Sections that would make it too large are left out, those with the highest numbers first.
 ///
@@ -89,6 +91,7 @@
         ReportSection::StoreGeneration(generation) => {
             Ok((STORE_GENERATION, codec::encode(generation)?))
         }
+        ReportSection::ColdEngines(reports) => Ok((COLD_ENGINES, codec::encode(reports)?)),
     }
 }
 
@@ -97,11 +100,20 @@
     let section = match number {
         STORE_GENERATION => codec::decode_exactly::<Generation, MAX_SECTION_BYTES>(body)
             .map(ReportSection::StoreGeneration),
+        COLD_ENGINES => decode_cold_engines(body).map(ReportSection::ColdEngines),
         _ => return None,
     };
     Some(section)
 }
 
+fn decode_cold_engines(body: &[u8]) -> Result<Vec<ColdReport>, String> {
+    let reports = codec::decode_exactly::<Vec<ColdReport>, MAX_SECTION_BYTES>(body)?;
+    if reports.len() > MAX_REPORTED_UPSTREAMS {
+        return Err(format!("it names {} cold upstreams", reports.len()));
+    }
+    Ok(reports)
+}
+
 /// Splits off the first section: its number, its body, and the bytes after it.
 fn split_section(bytes: &[u8]) -> Option<(u8, &[u8], &[u8])> {
     let (head, rest) = bytes.split_at_checked(SECTION_HEAD_BYTES)?;
--- a/src/process/forwarding.rs
+++ b/src/process/forwarding.rs
@@ -1,5 +1,6 @@
 //! Forwarding of whole requests: what a host knows of upstreams, other hosts and customers' limits, and how it acts on that.
 
+pub mod cold;
 pub mod directory;
 pub mod fleet;
 pub mod host;
--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -79,6 +79,10 @@
 pub struct DirectoryChange {
     /// Upstreams that are new or were restarted.
     pub started: Vec<Arc<Instance>>,
+    /// Those of `started` that were restarted under the id of a known one.
+    pub restarted: Vec<UpstreamId>,
+    /// Whether this is the first list, which tells nothing of when upstreams started.
+    pub is_first: bool,
     /// Upstreams that must get no new work from now on, because they drain or are no longer listed.
     pub left: Vec<Arc<Instance>>,
     /// The number of upstreams that are not listed but kept, because the store was just unavailable.
@@ -95,6 +99,14 @@
 }
 
 impl DirectoryChange {
+    /// Adds an upstream that started; `known` is the one that was known under its id.
+    fn add_started(&mut self, instance: &Arc<Instance>, known: Option<&Instance>) {
+        self.started.push(instance.clone());
+        if known.is_some() {
+            self.restarted.push(instance.id.clone());
+        }
+    }
+
     /// Returns whether the list stayed as it was.
     pub fn is_empty(&self) -> bool {
         self.started.is_empty() && self.left.is_empty()
@@ -213,7 +225,10 @@
             self.outage_ended = None;
         }
         let is_first = self.last_listed.is_none();
-        let mut change = DirectoryChange::default();
+        let mut change = DirectoryChange {
+            is_first,
+            ..DirectoryChange::default()
+        };
         let mut next = HashMap::with_capacity(listed.len());
         for instance in listed {
             let known = self.instances.remove(&instance.id);
@@ -226,10 +241,10 @@
                     }
                     let instance = Arc::new(instance);
                     let is_restart = known.as_ref().is_none_or(|k| k.born != instance.born);
-                    if instance.draining && known.is_some_and(|k| !k.draining) {
+                    if instance.draining && known.as_ref().is_some_and(|k| !k.draining) {
                         change.left.push(instance.clone());
                     } else if is_restart {
-                        change.started.push(instance.clone());
+                        change.add_started(&instance, known.as_deref());
                     }
                     instance
                 }
@@ -322,17 +337,20 @@
     fn apply_change(&mut self, listed: &ListChange, now: Instant, change: &mut DirectoryChange) {
         match listed {
             ListChange::Put(instance) => {
-                let known = self.instances.get(&instance.id);
-                if known.is_some_and(|known| **known == *instance) {
+                let known = self.instances.get(&instance.id).cloned();
+                if known.as_ref().is_some_and(|known| **known == *instance) {
                     return;
                 }
-                let is_restart = known.is_none_or(|known| known.born != instance.born);
-                let drains = instance.draining && known.is_some_and(|known| !known.draining);
+                let is_restart = known
+                    .as_ref()
+                    .is_none_or(|known| known.born != instance.born);
+                let drains =
+                    instance.draining && known.as_ref().is_some_and(|known| !known.draining);
                 let instance = Arc::new(instance.clone());
                 if drains {
                     change.left.push(instance.clone());
                 } else if is_restart {
-                    change.started.push(instance.clone());
+                    change.add_started(&instance, known.as_deref());
                 }
                 self.instances.insert(instance.id.clone(), instance);
             }
@@ -409,6 +427,11 @@
         known.is_some_and(|known| known.born == instance.born && self.takes_work(known))
     }
 
+    /// Returns the upstream of this id, which may drain; `None` if it is not listed.
+    pub fn instance(&self, id: &str) -> Option<Arc<Instance>> {
+        self.instances.get(id).cloned()
+    }
+
     /// Returns the number of known upstreams, draining ones included.
     pub fn len(&self) -> usize {
         self.instances.len()
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -1,5 +1,6 @@
 //! The state that a forwarding host shares between its requests and tasks, each part under its own lock.
 
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -7,11 +8,14 @@
 use tokio::sync::watch;
 
 use crate::prelude::*;
+use crate::process::forwarding::cold::{
+    ColdEngines, ColdFleet, ColdReport, ColdStatement, ReportOutcome,
+};
 use crate::process::forwarding::directory::{
     Directory, DirectoryChange, Instance, ListNews, NewsOutcome,
 };
 use crate::process::forwarding::load::LoadTracker;
-use crate::process::forwarding::peers::PeerTable;
+use crate::process::forwarding::peers::{PeerTable, Registration};
 use crate::process::forwarding::recent_news::RecentNews;
 use crate::process::forwarding::report_sections::ReportSection;
 use crate::process::forwarding::retry_budget::HostRetryBudget;
@@ -24,7 +28,7 @@
 use crate::process::quarantine::{CrashTable, PartTable};
 use crate::process::shard::lock;
 use crate::version::cell::VersionCell;
-use crate::version::forwarding::ForwardingTable;
+use crate::version::forwarding::{ColdLimits, ForwardingTable};
 
 /// The number of fingerprints of crashing requests that are kept.
 const MAX_CRASH_FINGERPRINTS: usize = 1024;
@@ -35,6 +39,15 @@
 /// The time for which a crash is reported to other hosts; longer than most network partitions between them.
 const CRASH_REPORT_TTL: Duration = Duration::from_secs(3);
 
+/// The most upstreams of which an invalid value is logged, once each.
+const MAX_LOGGED_INVALID: usize = 1024;
+
+/// Counts and logs that an upstream counts as cold for `left`.
+fn record_cold_period(upstream: &UpstreamId, cause: &'static str, left: Duration) {
+    ::metrics::counter!(metrics::COLD_PERIODS, "cause" => cause).increment(1);
+    log::info!(target: "upstream", "upstream {upstream} counts as cold for {}ms: {cause}", left.as_millis());
+}
+
 /// What a forwarding host knows of the configuration, upstreams, other hosts and customers.
 pub struct FleetState {
     /// The configuration in force.
@@ -47,6 +60,12 @@
     pub retries: HostRetryBudget,
     /// The requests that wait for free memory at engines.
     pub queues: Arc<ServiceQueues>,
+    /// The cold upstreams, and whether this host may send them requests.
+    pub cold: Arc<ColdEngines>,
+    /// The calls of plain services that wait for a pass to a cold upstream.
+    pub cold_queues: Arc<ServiceQueues>,
+    /// The upstreams of which an invalid value was logged.
+    logged_invalid: Mutex<HashSet<UpstreamId>>,
     directory: ShardedLock<Directory>,
     peers: Mutex<PeerTable>,
     /// The crashes by request fingerprint.
@@ -82,6 +101,9 @@
             usage: UsageTracker::new(settings.usage.clone()),
             retries: HostRetryBudget::new(settings.retries.clone()),
             queues: Arc::default(),
+            cold: Arc::new(ColdEngines::new(settings.cold.clone())),
+            cold_queues: Arc::default(),
+            logged_invalid: Mutex::default(),
             directory: ShardedLock::new(Directory::new(settings.directory.clone())),
             peers: Mutex::default(),
             crashes: Mutex::new(CrashTable::new(MAX_CRASH_FINGERPRINTS)),
@@ -129,14 +151,22 @@
             .unwrap_or_default()
     }
 
-    /// Applies a complete list of upstreams that was requested at `requested_at` and has all changes up to `revision`.
+    /// Applies a complete list of upstreams that was requested at `requested_at`, arrived at `now`, and has all changes up to `revision`.
+    /// `cold` is what it states of upstreams that are cold.
     pub fn apply_list(
         &self,
         listed: Vec<Instance>,
+        cold: &[ColdStatement],
         revision: Revision,
         requested_at: Instant,
+        now: Instant,
     ) -> DirectoryChange {
-        let change = self.change_directory(|d| d.apply(listed, revision, requested_at));
+        let change = self.change_directory(|d| {
+            let change = d.apply(listed, revision, requested_at);
+            self.follow_cold_starts(&change, Reach::Host, now);
+            self.follow_cold_statements(cold, now);
+            change
+        });
         self.follow_change(&change, requested_at);
         change
     }
@@ -148,7 +178,11 @@
         if self.with_directory(|d| d.is_known(news, now)) {
             return;
         }
-        let (outcome, change) = self.change_directory(|d| d.apply_news(news, now));
+        let (outcome, change) = self.change_directory(|d| {
+            let (outcome, change) = d.apply_news(news, now);
+            self.follow_cold_starts(&change, Reach::Fleet, now);
+            (outcome, change)
+        });
         self.follow_change(&change, now);
         if outcome == NewsOutcome::Incomplete {
             self.list_incomplete.notify_one();
@@ -186,6 +220,115 @@
             log::info!(target: "upstream", "{} unlisted upstreams kept, because the store was just unavailable", change.kept);
         }
         self.queues.wake_heads(now);
+        self.cold_queues.wake_heads(now);
+    }
+
+    /// Returns what the upstreams of a service can take while they are cold; `None` if they never are.
+    pub fn cold_limits(&self, service: &str) -> Option<ColdLimits> {
+        self.config.current().cold_limits(service)
+    }
+
+    /// Counts upstreams as cold that started, as found within `found`. Called before the directory shows them to requests.
+    fn follow_cold_starts(&self, change: &DirectoryChange, found: Reach, now: Instant) {
+        if change.is_first || change.started.is_empty() {
+            return;
+        }
+        let table = self.config.current();
+        for instance in &change.started {
+            let Some(limits) = table.cold_limits(&instance.service) else {
+                continue;
+            };
+            let is_restart = change.restarted.contains(&instance.id);
+            let is_news = self
+                .cold
+                .record_start(instance, &limits, is_restart, found, now);
+            if is_news {
+                record_cold_period(&instance.id, "started", limits.duration);
+            }
+        }
+    }
+
+    fn follow_cold_statements(&self, statements: &[ColdStatement], now: Instant) {
+        let table = self.config.current();
+        if !table.has_cold_limits() {
+            return;
+        }
+        let limits = |service: &ModelId| table.cold_limits(service);
+        let news = self.cold.record_statements(statements, limits, now);
+        for (upstream, left) in &news {
+            record_cold_period(upstream, "stated", *left);
+        }
+        if !news.is_empty() {
+            self.request_report();
+        }
+    }
+
+    /// Counts an upstream as cold that said so in an answer.
+    pub fn record_cold_answer(
+        &self,
+        instance: &Instance,
+        limits: &ColdLimits,
+        left: Duration,
+        now: Instant,
+    ) {
+        if self.cold.record_answer(instance, limits, left, now) {
+            record_cold_period(&instance.id, "stated", left.min(limits.duration));
+            self.request_report();
+        }
+    }
+
+    /// Returns whether an invalid value of this upstream was not logged before.
+    pub fn is_first_invalid_value(&self, upstream: &UpstreamId) -> bool {
+        let mut logged = lock(&self.logged_invalid);
+        logged.len() < MAX_LOGGED_INVALID && logged.insert(upstream.clone())
+    }
+
+    /// Counts upstreams as cold that another host found so within `found`.
+    fn apply_cold_reports(&self, reports: &[ColdReport], found: Reach, now: Instant) {
+        let table = self.config.current();
+        for report in reports {
+            let Some(instance) = self.with_directory(|d| d.instance(&report.upstream)) else {
+                continue;
+            };
+            let Some(limits) = table.cold_limits(&instance.service) else {
+                continue;
+            };
+            match self
+                .cold
+                .apply_report(report, &instance, &limits, found, now)
+            {
+                ReportOutcome::Known => {}
+                ReportOutcome::Applied => {
+                    let left = report.left.min(limits.duration);
+                    record_cold_period(&instance.id, "reported", left);
+                }
+                ReportOutcome::Ignored => {
+                    ::metrics::counter!(metrics::COLD_REPORTS_IGNORED).increment(1);
+                }
+            }
+        }
+    }
+
+    /// Tells the state of cold upstreams which hosts there are, if any upstream may be cold. `own` is this host.
+    pub fn update_cold_fleet(&self, own: &Registration) {
+        if !self.config.current().has_cold_limits() {
+            return;
+        }
+        let peers = self.peers();
+        let Some(membership) = peers.membership() else {
+            return;
+        };
+        if !self.cold.needs_fleet(membership) {
+            return;
+        }
+        let others = peers.hosts();
+        drop(peers);
+        self.cold.set_fleet(ColdFleet {
+            membership,
+            own: own.host.clone(),
+            own_data_centre: own.data_centre.clone(),
+            others,
+        });
     }
 
     /// Marks the upstreams in `left`, which a host within `reach` found to have left: they get no new work.
@@ -387,15 +530,28 @@
     }
 
     /// Returns what parts add to a report that sums up the hosts within `reach`.
-    pub fn report_sections(&self, _reach: Reach, _now: Instant) -> Vec<ReportSection> {
-        Vec::new()
+    pub fn report_sections(&self, reach: Reach, now: Instant) -> Vec<ReportSection> {
+        let mut sections = Vec::new();
+        let cold = self.cold.reports(reach, now);
+        if !cold.is_empty() {
+            sections.push(ReportSection::ColdEngines(cold));
+        }
+        sections
     }
 
     /// Applies a section of another host's report. `source` is what the report sums up; `None` if this host hears of it from
     /// another source.
-    pub fn apply_section(&self, section: &ReportSection, _source: Option<&Source>, _now: Instant) {
+    pub fn apply_section(&self, section: &ReportSection, source: Option<&Source>, now: Instant) {
         match section {
             ReportSection::StoreGeneration(_) => {}
+            ReportSection::ColdEngines(reports) => {
+                // A relay passes what hosts of its data centre found on to the relays of others, and all of it to its hosts.
+                let found = match source {
+                    Some(Source::Host(_)) => Reach::DataCentre,
+                    _ => Reach::Fleet,
+                };
+                self.apply_cold_reports(reports, found, now);
+            }
         }
     }
 
--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -116,6 +116,8 @@
 }
 
 /// A snapshot of an upstream's load.
+// The conditions are independent of each other.
+#[expect(clippy::struct_excessive_bools)]
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
 pub struct LoadView {
     /// The work given by this host.
@@ -130,6 +132,8 @@
     pub is_paused: bool,
     /// Whether its data centre is unreachable, as far as this host knows.
     pub is_cut_off: bool,
+    /// Whether it is cold, so that few hosts may choose it.
+    pub is_cold: bool,
     /// The average seconds per token of a prefill, per plain call, or to the first event of a generation; `None` if not measured.
     pub seconds_per_unit: Option<f64>,
 }
@@ -442,6 +446,7 @@
                 is_blocked: load.blocked_until.is_some_and(|until| until > now),
                 is_paused: load.paused_until.is_some_and(|until| until > now),
                 is_cut_off,
+                is_cold: false,
                 seconds_per_unit: load.seconds_per_unit,
             }
         })
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -147,8 +147,10 @@
     role: Role,
     /// The incarnations that were replaced or have left, oldest first. Their late reports are dropped.
     ended: VecDeque<Incarnation>,
-    /// Whether a list of hosts was applied.
-    is_listed: bool,
+    /// The lists of hosts that were applied.
+    lists: u64,
+    /// Changes with the hosts and their data centres.
+    membership: u64,
     /// The numbers of all and of silent hosts that a relay of this host's data centre reported last, and when.
     reported_hosts: Option<(usize, usize, Instant)>,
 }
@@ -176,17 +178,22 @@
         let replaced = known.map(|known| known.incarnation);
         let replaced = replaced.filter(|known| *known != sender.incarnation);
         let registered = known.is_some_and(|peer| peer.registered);
+        let is_known = known.is_some_and(|peer| peer.data_centre == sender.data_centre);
         if let Some(replaced) = replaced {
             self.add_ended(replaced);
         }
         if report.leaving {
             self.add_ended(sender.incarnation);
             self.peers.remove(&sender.host);
+            self.membership += 1;
             return ReportFreshness::Newest;
         }
         if report.reach == Reach::Fleet {
             self.reported_hosts = Some((report.hosts, report.silent_hosts, now));
         }
+        if !is_known {
+            self.membership += 1;
+        }
         self.peers.insert(
             sender.host.clone(),
             Peer {
@@ -214,7 +221,7 @@
     /// Applies the list of registered hosts, which must not contain this one. Returns the hosts that were removed, because they
     /// are silent and not listed.
     pub fn apply_registrations(&mut self, hosts: &[Registration], now: Instant) -> Vec<HostId> {
-        self.is_listed = true;
+        self.lists += 1;
         for host in hosts {
             let known = self.peers.get_mut(&host.host);
             match known {
@@ -237,6 +244,7 @@
                         on_time: None,
                     };
                     self.peers.insert(host.host.clone(), peer);
+                    self.membership += 1;
                 }
             }
         }
@@ -254,6 +262,7 @@
             .collect();
         for host in &gone {
             self.peers.remove(host);
+            self.membership += 1;
         }
         gone
     }
@@ -377,7 +386,21 @@
 
     /// Returns whether this host knows the others, and what they have granted if the fleet has relays.
     pub fn is_introduced(&self) -> bool {
-        self.is_listed && self.is_informed()
+        self.lists > 0 && self.is_informed()
+    }
+
+    /// Returns a number that changes with the hosts and their data centres; `None` until this host knows the fleet. Of hosts that start
+    /// together, each finds in its first list only those that registered before it.
+    pub fn membership(&self) -> Option<u64> {
+        (self.lists > 1 && self.is_informed()).then_some(self.membership)
+    }
+
+    /// Returns the other hosts that this host knows itself, silent ones included, each with its data centre.
+    pub fn hosts(&self) -> Vec<(HostId, DataCentreId)> {
+        let peers = self.peers.iter();
+        peers
+            .map(|(host, peer)| (host.clone(), peer.data_centre.clone()))
+            .collect()
     }
 
     /// Returns whether the sources that this host listens to were heard, so that it knows what others have granted.
--- a/src/process/forwarding/report_exchange.rs
+++ b/src/process/forwarding/report_exchange.rs
@@ -163,6 +163,7 @@
             self.settings.longest_relay_delay()
         };
         self.state.set_report_delay(report_delay);
+        self.state.update_cold_fleet(&self.own);
         self.state.usage.set_knowledge(FleetKnowledge {
             hosts,
             relay_delay: (plan.role != Role::Direct).then_some(report_delay),
--- a/src/process/forwarding/report_sections.rs
+++ b/src/process/forwarding/report_sections.rs
@@ -4,10 +4,13 @@
 //! understand each other's reports.
 
 use crate::prelude::*;
+use crate::process::forwarding::cold::ColdReport;
 
 /// The state of one part, as a report carries it. The sender leaves a section out that says nothing.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ReportSection {
     /// The newest generation of the store that the sender knows of.
     StoreGeneration(Generation),
+    /// The upstreams that were recently found cold.
+    ColdEngines(Vec<ColdReport>),
 }
--- a/src/process/forwarding/selection.rs
+++ b/src/process/forwarding/selection.rs
@@ -220,11 +220,18 @@
         let is_near = |(_, candidate, _): &(f64, &Candidate, usize)| {
             candidate.instance.data_centre == requirements.preferred_data_centre
         };
+        // Of the cold ones, no part is taken: few hosts may choose them, and those few should.
+        let (cold, warm): (Vec<&(f64, &Candidate, usize)>, Vec<_>) = costs
+            .iter()
+            .filter(is_sound)
+            .partition(|(_, candidate, _)| candidate.load.is_cold);
+        let cold = cold.into_iter().min_by(|a, b| a.0.total_cmp(&b.0));
+        let cold = cold.map(|(cost, _, i)| (*cost, *i));
         let (mut near, mut far): (Vec<_>, Vec<_>) =
-            costs.iter().filter(is_sound).partition(|c| is_near(c));
+            warm.into_iter().copied().partition(|c| is_near(c));
         let near = self.best_of_some(requirements, &mut near);
         let far = self.best_of_some(requirements, &mut far);
-        let sound = near.into_iter().chain(far);
+        let sound = cold.into_iter().chain(near).chain(far);
         let best = sound.min_by(|a, b| a.0.total_cmp(&b.0));
         // Upstreams in trouble are compared in full: few choose them, and the least bad one matters.
         let fallback = || {
--- a/src/process/forwarding/settings.rs
+++ b/src/process/forwarding/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use crate::process::forwarding::cold::ColdSettings;
 use crate::process::forwarding::directory::DirectorySettings;
 use crate::process::forwarding::load::LoadSettings;
 use crate::process::forwarding::report_exchange::ExchangeSettings;
@@ -72,6 +73,8 @@
     pub directory: DirectorySettings,
     /// How customers' rates are enforced.
     pub usage: UsageSettings,
+    /// How many requests cold upstreams get.
+    pub cold: ColdSettings,
     /// How many engines should prefill.
     pub stage_plan: StagePlanSettings,
     /// Whether the whole fleet starts for the first time, so that no host has granted tokens or sent stage orders before.
@@ -107,6 +110,7 @@
             load: LoadSettings::default(),
             directory: DirectorySettings::default(),
             usage: UsageSettings::default(),
+            cold: ColdSettings::default(),
             stage_plan: StagePlanSettings::default(),
             first_start: false,
             order_quiet: Duration::from_secs(3),
@@ -136,6 +140,11 @@
                 slack: fields.value("limit_slack", "a number of tokens", defaults.usage.slack),
                 ..defaults.usage.clone()
             },
+            cold: ColdSettings {
+                overrun: read_bound(fields, "cold_overrun", defaults.cold.overrun),
+                slack: read_bound(fields, "cold_slack", defaults.cold.slack),
+                ..defaults.cold.clone()
+            },
             capacity: read_capacity(fields, defaults.capacity),
             exchange: ExchangeSettings {
                 max_direct_hosts: fields.value(
@@ -172,6 +181,19 @@
     }
 }
 
+/// The upper bound of the overrun and the slack of cold upstreams.
+const MAX_COLD_BOUND: f64 = 1e6;
+
+/// Reads a bound on the requests to cold upstreams.
+fn read_bound<'a>(fields: &mut Fields<'a>, key: &'a str, default: f64) -> f64 {
+    let bound = fields.value(key, "a number", default);
+    if !(0.0..=MAX_COLD_BOUND).contains(&bound) {
+        fields.problem(key, format!("not between 0 and {MAX_COLD_BOUND}"));
+        return default;
+    }
+    bound
+}
+
 /// Reads the share of a processor that the host has, which the settings give in cores.
 fn read_capacity(fields: &mut Fields<'_>, default: u32) -> u32 {
     let cores: f64 = fields.value(
--- a/src/process/forwarding/store_watchers.rs
+++ b/src/process/forwarding/store_watchers.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::prelude::*;
+use crate::process::forwarding::cold::ColdStatement;
 use crate::process::forwarding::directory::Directory;
 use crate::process::forwarding::fleet::FleetState;
 use crate::process::forwarding::peers::Registration;
@@ -169,9 +170,27 @@
 
     fn apply_list(&self, entries: &[StoreEntry], revision: Revision, requested_at: Instant) {
         let mut listed = Vec::with_capacity(entries.len());
+        let mut cold = Vec::new();
         for entry in entries {
             match self.codec.read_upstream(&entry.key, &entry.value) {
-                Ok(registered) => listed.push(registered.instance),
+                Ok(registered) => {
+                    let instance = registered.instance;
+                    if let Some(e) = registered.ignored
+                        && self.state.is_first_invalid_value(&instance.id)
+                    {
+                        log::warn!(target: "upstream", "part of the registration of an upstream under {} ignored: {e}", entry.key);
+                    }
+                    if !registered.cold_left.is_zero() {
+                        cold.push(ColdStatement {
+                            upstream: instance.id.clone(),
+                            born: instance.born,
+                            service: instance.service.clone(),
+                            left: registered.cold_left,
+                            digest: stable_hash(&entry.value),
+                        });
+                    }
+                    listed.push(instance);
+                }
                 Err(e) => {
                     if lock(&self.logged_unreadable).insert(entry.key.clone()) {
                         log::warn!(target: "upstream", "registration of an upstream under {} ignored: {e}", entry.key);
@@ -179,7 +198,10 @@
                 }
             }
         }
-        let change = self.state.apply_list(listed, revision, requested_at);
+        let now = self.clock.now();
+        let change = self
+            .state
+            .apply_list(listed, &cold, revision, requested_at, now);
         let is_relay = self.state.peers().role() == Role::Relay;
         if is_relay || !change.left.is_empty() {
             self.state.request_report();
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -27,6 +27,10 @@
 pub const REPORT_SECTIONS_DROPPED: &str = "hibiscusspread_report_sections_dropped_total";
 /// Fields and headers of others that are ignored because their value is not allowed, by `field`.
 pub const IGNORED_FIELDS: &str = "hibiscusspread_ignored_fields_total";
+/// Periods for which an upstream counts as cold, by `cause`: `started`, `stated` or `reported`.
+pub const COLD_PERIODS: &str = "hibiscusspread_cold_periods_total";
+/// Other hosts' reports of cold upstreams that were ignored, because there were too many for one upstream.
+pub const COLD_REPORTS_IGNORED: &str = "hibiscusspread_cold_reports_ignored_total";
 /// Log lines dropped because standard output was read too slowly.
 pub const LOG_LINES_DROPPED: &str = "hibiscusspread_log_lines_dropped_total";
 /// Violations of invariants that the program checks at run time, by `invariant`; must stay 0.
--- a/tests/suite/forward_relays.rs
+++ b/tests/suite/forward_relays.rs
@@ -321,7 +321,7 @@
         let now = fleet.now();
         for host in &fleet.hosts {
             let list = vec![listed("a", Stage::Decode), listed("b", Stage::Decode)];
-            host.state.apply_list(list, 1, now);
+            host.state.apply_list(list, &[], 1, now, now);
         }
         fleet.run(seconds(2));
         let relays = 0..count;
@@ -331,7 +331,7 @@
         let relay = relay.expect("there is a relay");
         let now = fleet.now();
         let state = &fleet.hosts[relay].state;
-        state.apply_list(vec![listed("a", Stage::Decode)], 2, now);
+        state.apply_list(vec![listed("a", Stage::Decode)], &[], 2, now, now);
         let mut table = ForwardingTable::default();
         table.version = 7;
         assert!(state.config.advance(table));
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -17,6 +17,8 @@
 mod engine_fleet;
 mod fixtures;
 mod fleet_limits;
+mod forward_cold;
+mod forward_cold_simulation;
 mod forward_config_freshness;
 mod forward_connections;
 mod forward_drain;
