Send cold upstreams no more requests than they take

Cause: hosts chose an upstream that had just started like any other, and crashed it. Change: choosing an upstream leaves out those that ColdEngines closes to this host, and each prefill, generation, plain call and retry takes a pass just before it is sent. An attempt claims its pass when it begins, so that no prompt is prefilled for a call that then gets none. Generations wait in the queue of their service, plain calls in one of their own, whose head wakes for the next pass; a call that would wait too long is refused as not run with that time as Retry-After. Result: with a host before stand-ins that all restart, 60 calls and 30 generations at once stay within 18 a second at each upstream, are answered or refused as not run, and run again as before after the cold period.

--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -29,6 +29,8 @@
 pub const IGNORED_FIELDS: &str = "hibiscusspread_ignored_fields_total";
 /// Periods for which an upstream counts as cold, by `cause`: `started`, `stated` or `reported`.
 pub const COLD_PERIODS: &str = "hibiscusspread_cold_periods_total";
+/// Calls to cold upstreams by `result`: `sent`, or `withheld` if the pass for it was gone by the time of sending.
+pub const COLD_CALLS: &str = "hibiscusspread_cold_calls_total";
 /// Other hosts' reports of cold upstreams that were ignored, because there were too many for one upstream.
 pub const COLD_REPORTS_IGNORED: &str = "hibiscusspread_cold_reports_ignored_total";
 /// Log lines dropped because standard output was read too slowly.
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -11,11 +11,13 @@
 use smallvec::SmallVec;
 
 use crate::prelude::*;
+use crate::process::forwarding::cold::{Admission, PassClaim, PassOutcome};
 use crate::process::forwarding::directory::{Instance, Stage};
 use crate::process::forwarding::load::{CallId, CallOutcome, Work};
 use crate::process::forwarding::selection::{Candidate, Purpose, Requirements};
 use crate::process::forwarding::source::Reach;
 use crate::process::message::CrashReport;
+use crate::process::metrics;
 use crate::request::forward::call::{AttemptHead, Call, CallPart};
 use crate::request::forward::flow::ForwardContext;
 use crate::request::forward::transport::{SendFailure, SendLimits, UpstreamBody};
@@ -30,6 +32,8 @@
         /// How the refusal counts for the upstream's health.
         outcome: CallOutcome,
     },
+    /// The call was not sent: the upstream is cold, and this host had no pass for it.
+    Cold,
     /// The call could not be sent, or no valid response arrived.
     Send(SendFailure),
 }
@@ -38,14 +42,17 @@
     /// Returns whether the call may have run.
     pub fn run(&self) -> Run {
         match self {
-            Self::Rejected { .. } => Run::NotRun,
+            Self::Rejected { .. } | Self::Cold => Run::NotRun,
             Self::Send(failure) => failure.run(),
         }
     }
 
     /// Returns whether the call reached an upstream, so that the next one counts as a retry.
     pub fn reached_upstream(&self) -> bool {
-        !matches!(self, Self::Send(SendFailure::Unreachable { .. }))
+        !matches!(
+            self,
+            Self::Cold | Self::Send(SendFailure::Unreachable { .. })
+        )
     }
 
     /// Classifies a refusal by `instance`. Removes the instance from the directory if another one answered at its address.
@@ -75,6 +82,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Rejected { cause, .. } => write!(f, "upstream refused the call ({cause})"),
+            Self::Cold => f.write_str("upstream is cold and gets no more calls of this host now"),
             Self::Send(failure) => failure.fmt(f),
         }
     }
@@ -104,6 +112,18 @@
     if let Some(rest) = response.retry_after {
         cx.state.loads.pause(instance, rest, now);
     }
+    let Some(limits) = cx.state.cold_limits(&instance.service) else {
+        return;
+    };
+    match cx.codec.read_cold_left(head) {
+        Ok(Some(left)) => cx.state.record_cold_answer(instance, &limits, left, now),
+        Ok(None) => {}
+        Err(e) => {
+            if cx.state.is_first_invalid_value(&instance.id) {
+                log::warn!(target: "upstream", "part of an answer of upstream {} ignored: {e}", instance.id);
+            }
+        }
+    }
 }
 
 /// The options of one attempt.
@@ -148,6 +168,10 @@
     /// When the call was sent, or when the attempt began if it wasn't sent yet.
     pub sent_at: Instant,
     ended: bool,
+    /// The pass that the call will take, if the upstream is cold.
+    claim: Option<PassClaim>,
+    /// Whether the call may be sent as far as coldness goes.
+    has_pass: bool,
 }
 
 impl Attempt {
@@ -171,6 +195,8 @@
         let call_id = rand::random();
         let now = cx.clock.now();
         cx.state.loads.start_call(&instance, work);
+        let limits = cx.state.cold_limits(&instance.service);
+        let claim = limits.and_then(|limits| cx.state.cold.claim_pass(&instance, &limits, now));
         if tokens > 0 {
             cx.state.request_report();
         }
@@ -181,6 +207,8 @@
             work,
             sent_at: now,
             ended: false,
+            claim,
+            has_pass: false,
         }
     }
 
@@ -189,6 +217,30 @@
         self.work.prompts > 0
     }
 
+    /// Takes the pass that the call needs if the upstream is cold. The call must be sent at once.
+    ///
+    /// # Errors
+    /// Returns `AttemptFailure::Cold` if there is none.
+    pub fn take_pass(&mut self) -> Result<(), AttemptFailure> {
+        if self.has_pass {
+            return Ok(());
+        }
+        let state = &self.cx.state;
+        if let Some(limits) = state.cold_limits(&self.instance.service) {
+            let (claim, now) = (self.claim.take(), self.cx.clock.now());
+            match state.cold.take_pass(&self.instance, &limits, claim, now) {
+                PassOutcome::NotNeeded => {}
+                PassOutcome::Taken => count_cold_call("sent"),
+                PassOutcome::Refused => {
+                    count_cold_call("withheld");
+                    return Err(AttemptFailure::Cold);
+                }
+            }
+        }
+        self.has_pass = true;
+        Ok(())
+    }
+
     /// Sends the call and waits for the head of the response.
     ///
     /// # Errors
@@ -198,6 +250,7 @@
         call: &Call,
         options: SendOptions,
     ) -> Result<Response<UpstreamBody>, AttemptFailure> {
+        self.take_pass()?;
         self.sent_at = self.cx.clock.now();
         self.cx
             .state
@@ -213,6 +266,7 @@
                 .loads
                 .record_answer(&self.instance, self.call_id, now),
             Err(AttemptFailure::Rejected { outcome, .. }) => self.finish(*outcome),
+            Err(AttemptFailure::Cold) => self.finish(CallOutcome::Abandoned),
             Err(AttemptFailure::Send(failure)) => {
                 // If the upstream hangs or has restarted, its other kept connections are dead too.
                 self.cx.transport.close_idle(self.instance.address);
@@ -367,6 +421,16 @@
     }
 }
 
+fn count_cold_call(result: &'static str) {
+    ::metrics::counter!(metrics::COLD_CALLS, "result" => result).increment(1);
+}
+
+/// Returns whether an instance runs one of `stages` and holds `model`.
+fn is_suitable(instance: &Instance, stages: &[Stage], model: Option<&Name>) -> bool {
+    let has_model = |model: &Name| instance.models.is_empty() || instance.models.contains(model);
+    stages.contains(&instance.stage) && model.is_none_or(has_model)
+}
+
 /// Chooses an upstream of `service` for `requirements` among those that run one of `stages`, hold `model` and pass `accept`.
 pub fn choose_upstream(
     cx: &ForwardContext,
@@ -378,24 +442,58 @@
 ) -> Option<Candidate> {
     let now = cx.clock.now();
     let upstreams = cx.state.available_upstreams(service);
-    let is_suitable = |instance: &&Arc<Instance>| {
-        let has_model =
-            |model: &Name| instance.models.is_empty() || instance.models.contains(model);
-        stages.contains(&instance.stage) && model.is_none_or(has_model)
-    };
+    let cold = cx.state.cold_limits(service);
     let candidates: Vec<_> = upstreams
         .iter()
-        .filter(is_suitable)
+        .filter(|instance| is_suitable(instance, stages, model))
         .map(|instance| Candidate {
             instance: instance.clone(),
             load: cx.state.loads.view(instance, now),
         })
         .filter(|candidate| !candidate.load.is_paused && accept(candidate))
+        .filter_map(|mut candidate| {
+            if let Some(limits) = &cold {
+                let admission = cx.state.cold.may_choose(&candidate.instance, limits, now);
+                if matches!(admission, Admission::Closed(_)) {
+                    return None;
+                }
+                candidate.load.is_cold = admission == Admission::WithPass;
+            }
+            Some(candidate)
+        })
         .collect();
     let chosen = cx.selection.choose(requirements, &candidates)?;
     candidates.into_iter().nth(chosen)
 }
 
+/// The shortest time after which a request looks again for a pass to a cold upstream.
+const MIN_COLD_WAIT: Duration = Duration::from_millis(10);
+
+/// Returns when this host may send a request to one of the cold upstreams of `service` that run one of `stages`, hold `model` and pass
+/// `accept`, at the earliest; `None` if it may send one to each of them already.
+pub fn next_cold_chance(
+    cx: &ForwardContext,
+    service: &ModelId,
+    stages: &[Stage],
+    model: Option<&Name>,
+    accept: impl Fn(&Instance) -> bool,
+) -> Option<Instant> {
+    let limits = cx.state.cold_limits(service)?;
+    let now = cx.clock.now();
+    let upstreams = cx.state.available_upstreams(service);
+    let suitable = upstreams
+        .iter()
+        .filter(|instance| is_suitable(instance, stages, model) && accept(instance));
+    let chances =
+        suitable.filter_map(
+            |instance| match cx.state.cold.may_choose(instance, &limits, now) {
+                Admission::Closed(until) => Some(until),
+                Admission::Open | Admission::WithPass => None,
+            },
+        );
+    chances.min().map(|chance| chance.max(now + MIN_COLD_WAIT))
+}
+
 /// Describes a choice for the trail of the request's log line.
 pub fn describe_choice(purpose: Purpose, candidate: &Candidate) -> String {
     let purpose = match purpose {
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -280,6 +280,10 @@
             record.note("retry budget used up");
             return Err(DecodeFailure::NoEngine);
         }
+        // Before the reservation counts as used, so that it is released if the call can't be sent.
+        if let Err(failure) = capacity.attempt.take_pass() {
+            return Err(DecodeFailure::Attempt(failure));
+        }
         let reservation = capacity.reservation.as_mut().and_then(Reservation::take);
         let is_reserved = reservation.is_some();
         let mut attempt = capacity.attempt;
--- a/src/request/forward/generation/capacity.rs
+++ b/src/request/forward/generation/capacity.rs
@@ -6,11 +6,16 @@
 use crate::process::forwarding::directory::Stage;
 use crate::process::forwarding::selection::{Candidate, Purpose};
 use crate::process::forwarding::wait_queue::Waiter;
-use crate::request::forward::attempt::{Attempt, AttemptFailure, describe_choice};
+use crate::request::forward::attempt::{
+    Attempt, AttemptFailure, describe_choice, next_cold_chance,
+};
 use crate::request::forward::generation::Generation;
 use crate::request::forward::generation::reservation::DecodeCapacity;
 use crate::request::forward::record::ForwardRecord;
 
+/// The stages of the engines that a generation may use.
+const ENGINE_STAGES: [Stage; 3] = [Stage::Prefill, Stage::Decode, Stage::Whole];
+
 /// Why a request waits for capacity.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WaitReason {
@@ -22,6 +27,8 @@
     PrefillBusy,
     /// No decode engine has both enough free memory and a free slot.
     EnginesFull,
+    /// The same, and some are cold and get no more requests of this host now.
+    EnginesCold,
 }
 
 impl WaitReason {
@@ -31,6 +38,7 @@
             Self::YieldsToOtherHost => "late, others can be on time",
             Self::PrefillBusy => "prefill engines busy",
             Self::EnginesFull => "decode engines full",
+            Self::EnginesCold => "decode engines full or cold",
         }
     }
 }
@@ -82,13 +90,17 @@
                 return Err(self.refusal(&last));
             }
             let is_on_time = now < on_time_deadline;
-            entry
-                .wait(if is_on_time {
-                    on_time_deadline.min(wait_deadline)
-                } else {
-                    wait_deadline
-                })
-                .await;
+            let mut wake_at = if is_on_time {
+                on_time_deadline.min(wait_deadline)
+            } else {
+                wait_deadline
+            };
+            if entry.is_head() {
+                // No event tells that a cold engine takes a request again.
+                let chance = self.next_cold_chance(&ENGINE_STAGES);
+                wake_at = wake_at.min(chance.unwrap_or(wake_at));
+            }
+            entry.wait(wake_at).await;
             if is_on_time && cx.clock.now() >= on_time_deadline {
                 entry.wake_next();
                 cx.state.request_report();
@@ -96,6 +108,12 @@
         }
     }
 
+    /// Returns when an engine that runs one of `stages` and is cold may take another request of this host; `None` if none is cold.
+    fn next_cold_chance(&self, stages: &[Stage]) -> Option<Instant> {
+        let model = self.call.head.model.as_ref();
+        next_cold_chance(&self.cx, &self.service, stages, model, |_| true)
+    }
+
     /// Returns when capacity must be found for the first event to be on time. A caller that retries states less than the
     /// route's timeout; the difference is the time that it has waited already.
     fn on_time_deadline(&self) -> Instant {
@@ -158,16 +176,18 @@
         Ok(now + max_wait)
     }
 
-    /// Returns whether even the best prefill engine has a backlog above `max_prefill_backlog`.
+    /// Returns whether even the best prefill engine has a backlog above `max_prefill_backlog`, or all of them are cold and get no more
+    /// requests of this host now.
     fn is_prefill_busy(&self) -> bool {
         let preferred_data_centre = &self.cx.data_centre;
         let is_usable = |candidate: &Candidate| !candidate.load.is_blocked;
         let best = self.choose_upstream(Purpose::Prefill, preferred_data_centre, is_usable);
-        best.is_some_and(|candidate| {
-            let queued_tokens = candidate.load.work().tokens as f64;
-            let seconds_per_token = candidate.load.seconds_per_unit.unwrap_or(0.0);
-            queued_tokens * seconds_per_token > self.cx.settings.max_prefill_backlog.as_secs_f64()
-        })
+        let Some(candidate) = best else {
+            return self.next_cold_chance(&[Stage::Prefill]).is_some();
+        };
+        let queued_tokens = candidate.load.work().tokens as f64;
+        let seconds_per_token = candidate.load.seconds_per_unit.unwrap_or(0.0);
+        queued_tokens * seconds_per_token > self.cx.settings.max_prefill_backlog.as_secs_f64()
     }
 
     /// Reserves capacity at the best decode engine that has some. An engine with less memory left than this host assumes refuses,
@@ -240,10 +260,17 @@
                 && !self.tried.contains(&candidate.instance.id)
         };
         let candidate = self.choose_upstream(Purpose::Decode, &self.cx.data_centre, has_capacity);
-        let candidate = candidate.ok_or(if prefill_at_decode {
-            WaitReason::PrefillBusy
-        } else {
-            WaitReason::EnginesFull
+        let candidate = candidate.ok_or_else(|| {
+            if prefill_at_decode {
+                WaitReason::PrefillBusy
+            } else if self
+                .next_cold_chance(&[Stage::Decode, Stage::Whole])
+                .is_some()
+            {
+                WaitReason::EnginesCold
+            } else {
+                WaitReason::EnginesFull
+            }
         })?;
         let choice = describe_choice(Purpose::Decode, &candidate);
         let prefill_tokens = if prefill_at_decode { prompt_tokens } else { 0 };
--- a/src/request/forward/generation/reservation.rs
+++ b/src/request/forward/generation/reservation.rs
@@ -104,6 +104,7 @@
                         ..
                     } => CallOutcome::NoMemory,
                     AttemptFailure::Rejected { outcome, .. } => *outcome,
+                    AttemptFailure::Cold => CallOutcome::Abandoned,
                     AttemptFailure::Send(SendFailure::Unreachable { .. }) => {
                         CallOutcome::Unreachable
                     }
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -7,12 +7,14 @@
 use smallvec::SmallVec;
 
 use crate::prelude::*;
-use crate::process::forwarding::directory::Stage;
+use crate::process::forwarding::directory::{Instance, Stage};
 use crate::process::forwarding::load::CallOutcome;
 use crate::process::forwarding::selection::{Candidate, Purpose, Requirements};
+use crate::process::forwarding::service_queues::QueueEntry;
+use crate::process::forwarding::wait_queue::Waiter;
 use crate::request::forward::attempt::{
     Attempt, AttemptFailure, CalledAddresses, SendOptions, choose_upstream, describe_choice,
-    may_be_buffered,
+    may_be_buffered, next_cold_chance,
 };
 use crate::request::forward::call::{Call, CallPart};
 use crate::request::forward::flow::{ForwardContext, check_drain_deadline, unserved_refusal};
@@ -63,7 +65,9 @@
     let repeatable = call.route.repeat == RepeatPolicy::Idempotent;
     let mut failed_response: Option<Response<UpstreamBody>> = None;
     let mut last_failure = "no upstream takes new work".to_owned();
-    for _ in 0..cx.settings.max_tries {
+    let mut cold_wait = None;
+    let mut tries = 0;
+    while tries < cx.settings.max_tries {
         let now = cx.clock.now();
         if now >= call.deadline
             || (attempts.possible_runs > 0 && !repeatable)
@@ -72,8 +76,18 @@
             break;
         }
         let Some(candidate) = attempts.choose_upstream() else {
-            break;
+            match attempts
+                .wait_for_cold_upstream(&mut cold_wait, record)
+                .await
+            {
+                ColdWait::Ended => continue,
+                ColdWait::TooLong(_) if failed_response.is_some() => break,
+                ColdWait::TooLong(wait) => return Err(attempts.cold_refusal(wait)),
+                ColdWait::NoneCold => break,
+            }
         };
+        tries += 1;
+        drop(cold_wait.take());
         if attempts.reached > 0 && !cx.state.take_retry(service, "call", now) {
             record.note("retry budget used up");
             break;
@@ -115,6 +129,16 @@
     ))
 }
 
+/// What came of waiting for a cold upstream.
+enum ColdWait {
+    /// An upstream may take the call now.
+    Ended,
+    /// None takes it before this time.
+    TooLong(Duration),
+    /// No upstream that could take the call is cold.
+    NoneCold,
+}
+
 /// Returns the time that a call takes at the most, but for rare ones.
 fn longest_time(cx: &ForwardContext, call: &Call) -> Duration {
     let target = call.route.target_latency;
@@ -123,7 +147,59 @@
     left.min(target * MAX_TARGETS)
 }
 
+/// The stages of the upstreams that take calls.
+const CALL_STAGES: [Stage; 2] = [Stage::Whole, Stage::Decode];
+
 impl CallAttempts<'_> {
+    /// Waits until a cold upstream takes another call of this host. `entry` is the call's place among those that wait; only the first one
+    /// wakes for each chance.
+    async fn wait_for_cold_upstream(
+        &self,
+        entry: &mut Option<QueueEntry>,
+        record: &mut ForwardRecord,
+    ) -> ColdWait {
+        let (cx, call) = (self.cx, self.call);
+        let model = call.head.model.as_ref();
+        let is_new = |instance: &Instance| !self.tried.contains(&instance.id);
+        let chance = next_cold_chance(cx, self.service, &CALL_STAGES, model, is_new);
+        let Some(chance) = chance else {
+            return ColdWait::NoneCold;
+        };
+        let now = cx.clock.now();
+        let patience = call.deadline.saturating_duration_since(call.arrived);
+        let latest = call.arrived + patience.mul_f64(cx.settings.wait_fraction);
+        if chance > latest {
+            return ColdWait::TooLong(chance.saturating_duration_since(now));
+        }
+        let entry = entry.get_or_insert_with(|| {
+            record.note("waits for a cold upstream");
+            let waiter = Waiter {
+                priority: call.priority(),
+                since: now,
+                on_time_until: latest,
+                tokens: 0,
+            };
+            cx.state
+                .cold_queues
+                .enqueue(self.service, waiter, &cx.clock)
+        });
+        entry
+            .wait(if entry.is_head() { chance } else { latest })
+            .await;
+        ColdWait::Ended
+    }
+
+    /// Creates the refusal of a call that would have to wait too long for a cold upstream.
+    fn cold_refusal(&self, wait: Duration) -> Refusal {
+        let last = "its upstreams have just started";
+        let refusal = unserved_refusal(self.cx, self.call, self.possible_runs, "upstream", last);
+        if self.possible_runs == 0 {
+            refusal.with_retry_after(wait)
+        } else {
+            refusal
+        }
+    }
+
     fn choose_upstream(&self) -> Option<Candidate> {
         let requirements = Requirements {
             purpose: Purpose::Call,
@@ -132,12 +208,11 @@
             kv_tokens: 0,
             report_delay: self.cx.state.report_delay(),
         };
-        let stages = [Stage::Whole, Stage::Decode];
         let model = self.call.head.model.as_ref();
         choose_upstream(
             self.cx,
             self.service,
-            &stages,
+            &CALL_STAGES,
             model,
             &requirements,
             |candidate| !self.tried.contains(&candidate.instance.id),
--- a/tests/suite/forward_cold.rs
+++ b/tests/suite/forward_cold.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use hibiscusspread::platform::PlatformStateCodec;
 use hibiscusspread::platform::requests::PlatformCallCodec;
@@ -20,12 +20,14 @@
 use hibiscusspread::process::forwarding::source::Reach;
 use hibiscusspread::process::forwarding::state_codec::{RegisteredUpstream, StateCodec};
 use hibiscusspread::process::settings::Settings;
+use hibiscusspread::process::shard::lock;
 use hibiscusspread::request::forward::codec::CallCodec;
 use hibiscusspread::version::forwarding::{ColdLimits, ForwardService, ForwardingTable};
 
 use crate::forward_cold_simulation::{BOUND, LIMITS, settings};
 use crate::forward_fleet::decode_instance;
 use crate::forward_relay_fleet::RelayFleet;
+use crate::platform_stand_in::{Platform, StandIns, configuration, request, send};
 
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -776,3 +778,127 @@
         prop_assert!(is_open(&engines, &engine, now + Duration::from_secs(3)));
     }
 }
+
+/// Returns the configuration of the stand-in platform, whose upstreams are cold after a start.
+fn cold_configuration() -> Value {
+    let mut document = configuration(1);
+    for service in document["services"].as_array_mut().expect("services") {
+        service["coldS"] = 3.0.into();
+        service["coldPerS"] = 8.8.into();
+    }
+    document
+}
+
+/// Starts a host before upstreams that are warm, and waits until it knows that it is the only one.
+async fn start_platform() -> Platform {
+    let stand_ins = StandIns::start().await;
+    stand_ins.register_all().await;
+    stand_ins.configure(&cold_configuration()).await;
+    let forwarding = ForwardingSettings {
+        store_address: stand_ins.store_address,
+        cold: settings(),
+        second_host_list_delay: millis(100),
+        watch_wait: millis(500),
+        ..ForwardingSettings::default()
+    };
+    let platform = Platform::start_with(stand_ins, forwarding).await;
+    platform.wait_ready().await;
+    tokio::time::sleep(millis(1000)).await;
+    platform
+}
+
+/// Registers new processes of upstreams under their ids, and waits until the host has read the list.
+async fn restart(platform: &Platform, ids: &[&str]) {
+    for id in ids {
+        let key = format!("servers/{id}");
+        let entry = platform.store.get(&key).await.expect("store answers");
+        let entry = entry.expect("registered");
+        let mut registration: Value = serde_json::from_slice(&entry.value).expect("JSON");
+        registration["born"] = 8.into();
+        let value = serde_json::to_vec(&registration).expect("JSON");
+        let expected = Expected::At(entry.revision);
+        let swapped = platform.store.swap(&key, expected, value, None).await;
+        swapped.expect("store answers");
+    }
+    tokio::time::sleep(millis(300)).await;
+}
+
+/// Sends `count` requests at once and returns the answers.
+async fn send_all(platform: &Platform, path: &str, count: usize) -> Vec<(u16, bool)> {
+    let (address, uri) = (
+        platform.address,
+        format!("http://{}{path}", platform.address),
+    );
+    let calls = (0..count).map(|_| send(address, request("GET", &uri)));
+    let answers = futures_util::future::join_all(calls).await;
+    let answers = answers.into_iter();
+    answers
+        .map(|answer| (answer.status, answer.headers.contains_key("retry-after")))
+        .collect()
+}
+
+/// Returns the most runs that began at an upstream within a second since `since`.
+fn most_runs(platform: &Platform, id: &str, since: Instant) -> usize {
+    let runs = lock(&platform.runs).clone();
+    let began: Vec<_> = runs
+        .iter()
+        .filter(|run| run.upstream == id && run.began >= since)
+        .map(|run| u64::try_from(run.began.duration_since(since).as_millis()).expect("short"))
+        .collect();
+    most_in_second(&began)
+}
+
+/// Load pattern: all upstreams of a plain service restart before a burst of calls. Guards against calls beyond what cold upstreams take,
+/// and against calls that are refused although one takes them in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_wait_for_cold_upstreams_and_are_refused_in_time() {
+    let platform = start_platform().await;
+    let warm = send_all(&platform, "/read/1", 60).await;
+    assert!(warm.iter().all(|(status, _)| *status == 200), "{warm:?}");
+    let since = Instant::now();
+    restart(&platform, &["s-0", "s-1"]).await;
+    let began = Instant::now();
+    let answers = send_all(&platform, "/read/1", 60).await;
+    assert!(began.elapsed() < Duration::from_secs(2));
+    let answered = answers.iter().filter(|(status, _)| *status == 200).count();
+    // Nine at once at each, and nine once a second has passed.
+    assert!((18..=36).contains(&answered), "{answered}");
+    let refused = answers.iter().filter(|answer| **answer == (503, true));
+    assert_eq!(answered + refused.count(), 60, "{answers:?}");
+    for id in ["s-0", "s-1"] {
+        assert!(most_runs(&platform, id, since) <= BOUND);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let warm = send_all(&platform, "/read/1", 60).await;
+    assert!(warm.iter().all(|(status, _)| *status == 200), "{warm:?}");
+}
+
+/// Load pattern: all engines restart before a burst of generations. Guards against prefills and streams beyond what cold engines take, and
+/// against streams that are refused although an engine takes them in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn generations_wait_for_cold_engines() {
+    let platform = start_platform().await;
+    let since = Instant::now();
+    restart(&platform, &["p-0", "p-1", "d-0", "d-1"]).await;
+    lock(&platform.seen).clear();
+    let answers = send_all(&platform, "/text/1", 30).await;
+    let answered = answers.iter().filter(|(status, _)| *status == 200).count();
+    assert!(answered >= 9, "{answers:?}");
+    let refused = answers.iter().filter(|answer| **answer == (503, true));
+    assert_eq!(answered + refused.count(), 30, "{answers:?}");
+    for id in ["d-0", "d-1"] {
+        assert!(most_runs(&platform, id, since) <= BOUND);
+    }
+    let elapsed = since.elapsed().as_secs_f64().ceil();
+    for id in ["p-0", "p-1"] {
+        let prefills = platform.seen_by(id);
+        let prefills = prefills
+            .iter()
+            .filter(|seen| seen.header("x-stage").is_some());
+        let prefills = prefills.count();
+        assert!(
+            prefills as f64 <= elapsed * 9.0,
+            "{prefills} in {elapsed} s"
+        );
+    }
+}
