Drop the state of cold upstreams that left once for each list

Cause: each start of an upstream swept the state of all, so that the time for a list grew with the square of its starts. A plain call whose pass was gone at the time of sending did not ask the same upstream again, and was refused although it could wait.

--- a/src/process/forwarding/cold.rs
+++ b/src/process/forwarding/cold.rs
@@ -312,7 +312,6 @@
         found: Reach,
         now: Instant,
     ) -> bool {
-        self.drop_idle(now);
         let until = now + limits.duration;
         self.with_upstream(&instance.id, instance.born, now, |upstream| {
             // Reports of other hosts may have told of this start.
@@ -656,7 +655,7 @@
     }
 
     /// Drops the upstreams that have been warm for long and are not asked for any more.
-    fn drop_idle(&self, now: Instant) {
+    pub fn drop_idle(&self, now: Instant) {
         for mut upstreams in self.upstreams.iter() {
             upstreams.retain(|_, upstream| {
                 let idle = now.saturating_duration_since(upstream.cold_until);
--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -1,6 +1,6 @@
 //! The upstreams that are registered in the store. Performs no I/O and reads no clock.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -80,7 +80,7 @@
     /// Upstreams that are new or were restarted.
     pub started: Vec<Arc<Instance>>,
     /// Those of `started` that were restarted under the id of a known one.
-    pub restarted: Vec<UpstreamId>,
+    pub restarted: HashSet<UpstreamId>,
     /// Whether this is the first list, which tells nothing of when upstreams started.
     pub is_first: bool,
     /// Upstreams that must get no new work from now on, because they drain or are no longer listed.
@@ -103,7 +103,7 @@
     fn add_started(&mut self, instance: &Arc<Instance>, known: Option<&Instance>) {
         self.started.push(instance.clone());
         if known.is_some() {
-            self.restarted.push(instance.id.clone());
+            self.restarted.insert(instance.id.clone());
         }
     }
 
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -234,6 +234,9 @@
             return;
         }
         let table = self.config.current();
+        if table.has_cold_limits() {
+            self.cold.drop_idle(now);
+        }
         for instance in &change.started {
             let Some(limits) = table.cold_limits(&instance.service) else {
                 continue;
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -111,6 +111,10 @@
             }
             Err(failure) => {
                 record.note(&failure);
+                if failure == AttemptFailure::Cold {
+                    // It was not sent, and the upstream may take it later.
+                    attempts.tried.pop();
+                }
                 attempts.reached += u32::from(failure.reached_upstream());
                 attempts.possible_runs += u32::from(failure.run() == Run::Unknown);
                 last_failure = failure.to_string();
--- a/tests/suite/forward_cold.rs
+++ b/tests/suite/forward_cold.rs
@@ -432,6 +432,21 @@
     assert_eq!(finder.reports(Reach::Host, now).len(), 1);
 }
 
+/// Guards against state of upstreams that have left, which grows with each restart, and against passes that are forgotten with it.
+#[test]
+fn state_of_upstreams_that_left_is_dropped() {
+    let now = Instant::now();
+    let engine = decode_instance("e");
+    let engines = engines_of_single_host();
+    engines.record_start(&engine, &LIMITS, true, Reach::Host, now);
+    assert_eq!(passes_at_once(&engines, &engine, now), 9);
+    engines.drop_idle(now + millis(500));
+    assert_eq!(passes_at_once(&engines, &engine, now + millis(500)), 0);
+    assert!(format!("{engines:?}").contains("cold_until"));
+    engines.drop_idle(now + Duration::from_mins(2));
+    assert!(!format!("{engines:?}").contains("cold_until"));
+}
+
 /// Guards against a host without cold upstreams that pays for them, or sends anything about them.
 #[test]
 fn service_without_limits_has_no_cold_upstreams() {
