--- a/src/process/forwarding/fleet/evacuations.rs
+++ b/src/process/forwarding/fleet/evacuations.rs
@@ -26,7 +26,7 @@
         } else {
             self.known_data_centres()
         };
-        let change = self.change_evacuations(|state| {
+        let change = self.change_evacuations(now, |state| {
             state.apply_read(data_centres, position, &known, requested_at, now)
         });
         if let Some(refuted) = change.refuted {
@@ -39,7 +39,7 @@
     /// Applies the set of evacuated data centres that another host has reported.
     pub(super) fn apply_evacuation_news(&self, news: &EvacuationNews, now: Instant) {
         let mut outcome = Ok(EvacuationChange::default());
-        self.change_evacuations(|state| {
+        self.change_evacuations(now, |state| {
             outcome = state.apply_news(news, now);
             outcome.clone().unwrap_or_default()
         });
@@ -61,6 +61,7 @@
     /// directory never keeps an older one.
     fn change_evacuations(
         &self,
+        now: Instant,
         change: impl FnOnce(&mut EvacuationState) -> EvacuationChange,
     ) -> EvacuationChange {
         let mut state = lock(&self.evacuations);
@@ -68,6 +69,10 @@
         if !change.is_empty() {
             let evacuated = state.evacuated();
             ::metrics::gauge!(metrics::EVACUATED_DATA_CENTRES).set(evacuated.len() as f64);
+            // Before they are candidates again, so that no host sends them all its requests at once.
+            for data_centre in &change.ended {
+                self.cold.data_centre_returned(data_centre, now);
+            }
             self.change_directory(|d| d.set_evacuated(evacuated));
         }
         let is_unverified = state.is_unverified();
--- a/src/process/forwarding/report_sections.rs
+++ b/src/process/forwarding/report_sections.rs
@@ -4,6 +4,7 @@
 //! understand each other's reports.
 
 use crate::prelude::*;
+use crate::process::forwarding::cold::ColdReport;
 use crate::process::forwarding::evacuation::EvacuationNews;
 
 /// The state of one part, as a report carries it. The sender leaves a section out that says nothing.
@@ -13,4 +14,6 @@
     StoreGeneration(Generation),
     /// The evacuated data centres.
     Evacuations(EvacuationNews),
+    /// The upstreams that were recently found cold.
+    ColdEngines(Vec<ColdReport>),
 }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -33,6 +33,14 @@
 pub const EVACUATIONS_IGNORED: &str = "hibiscusspread_evacuations_ignored_total";
 /// Refusals because all upstreams that could take a request are excluded, by `reason`: `evacuated` or `homes`.
 pub const REACH_REFUSALS: &str = "hibiscusspread_reach_refusals_total";
+/// Fields and headers of others that are ignored because their value is not allowed, by `field`.
+pub const IGNORED_FIELDS: &str = "hibiscusspread_ignored_fields_total";
+/// Periods for which an upstream counts as cold, by `cause`: `started`, `stated` or `reported`.
+pub const COLD_PERIODS: &str = "hibiscusspread_cold_periods_total";
+/// Calls to cold upstreams by `result`: `sent`, or `withheld` if the pass for it was gone by the time of sending.
+pub const COLD_CALLS: &str = "hibiscusspread_cold_calls_total";
+/// Other hosts' reports of cold upstreams that were ignored, because there were too many for one upstream.
+pub const COLD_REPORTS_IGNORED: &str = "hibiscusspread_cold_reports_ignored_total";
 /// Log lines dropped because standard output was read too slowly.
 pub const LOG_LINES_DROPPED: &str = "hibiscusspread_log_lines_dropped_total";
 /// Violations of invariants that the program checks at run time, by `invariant`; must stay 0.
--- a/tests/suite/evacuation.rs
+++ b/tests/suite/evacuation.rs
@@ -206,7 +206,7 @@
 fn evacuated_upstreams_are_left_out_until_they_are_back() {
     let now = Instant::now();
     let state = FleetState::new(&ForwardingSettings::default());
-    state.apply_list(engines(), 1, now);
+    state.apply_list(engines(), &[], 1, now, now);
     let chosen = state.available_upstreams("writers");
     let in_x: Vec<_> = chosen.iter().filter(|e| &*e.data_centre == "x").collect();
     let ordered_in = |data_centre: &str| {
@@ -227,9 +227,9 @@
     assert!(in_x.iter().all(|engine| !is_available(engine)));
     assert_eq!(ordered_in("x"), 0);
     // A list read meanwhile, or an upstream that restarts there, changes nothing.
-    state.apply_list(engines(), 3, now + millis(800));
+    state.apply_list(engines(), &[], 3, now + millis(800), now + millis(800));
     assert_eq!(state.available_upstreams("writers").len(), 6);
-    let digest = |state: &FleetState| state.list_news(now).expect("listed").digest;
+    let digest = |state: &FleetState| state.list_news(Role::Relay, now).expect("listed").digest;
     let evacuated_digest = digest(&state);
     state.apply_evacuations(set(&[]), 4, now + millis(900), now + millis(900));
     assert_eq!(state.available_upstreams("writers").len(), 12);
@@ -278,6 +278,7 @@
         id: "writers".into(),
         max_connections: 100,
         engine: Some(limits),
+        cold: None,
     };
     table.version = 1;
     table.services.insert("writers".into(), Arc::new(service));
@@ -286,7 +287,7 @@
     for (no, engine) in (0..).zip(&mut engines) {
         engine.address.set_port(9000 + no);
     }
-    state.apply_list(engines.clone(), 1, clock.now());
+    state.apply_list(engines.clone(), &[], 1, clock.now(), clock.now());
     let transport = Arc::new(SlowTransport {
         clock: clock.clone(),
         sent: Mutex::default(),
@@ -333,7 +334,7 @@
 fn unknown_data_centre_changes_nothing() {
     let now = Instant::now();
     let state = FleetState::new(&ForwardingSettings::default());
-    state.apply_list(engines(), 1, now);
+    state.apply_list(engines(), &[], 1, now, now);
     assert!(state.report_sections(Reach::Host, now).is_empty());
     state.apply_evacuations(set(&["nowhere"]), 2, now, now);
     assert_eq!(state.available_upstreams("writers").len(), 12);
@@ -374,7 +375,7 @@
                 instance("a", Stage::Decode, "x"),
                 instance("b", Stage::Decode, "y"),
             ];
-            host.state.apply_list(list, 1, now);
+            host.state.apply_list(list, &[], 1, now, now);
         }
         let is_relay = |index: &usize| fleet.hosts[*index].state.peers().role() == Role::Relay;
         let relay = (0..count).find(is_relay).expect("there is a relay");
@@ -545,7 +546,7 @@
     let state = FleetState::new(&ForwardingSettings::default());
     let clock: Arc<dyn Clock> = RuntimeClock::start();
     let now = clock.now();
-    state.apply_list(engines(), 1, now);
+    state.apply_list(engines(), &[], 1, now, now);
     let waiter = Waiter {
         priority: 1,
         since: now,
--- a/tests/suite/homes.rs
+++ b/tests/suite/homes.rs
@@ -276,6 +276,19 @@
     }
 }
 
+/// Removes the sections of a template, which are rendered only if there is a value of their name.
+fn without_sections(text: &str) -> String {
+    let mut rendered = String::new();
+    let mut rest = text;
+    while let Some((before, after)) = rest.split_once("{{#") {
+        rendered.push_str(before);
+        let (name, section) = after.split_once("}}").expect("placeholder");
+        let end = format!("{{{{/{name}}}}}");
+        rest = section.split_once(&*end).expect("end of the section").1;
+    }
+    rendered + rest
+}
+
 /// Fills in the placeholders of the deployment's settings template, as the platform does.
 fn render(zones: &[(&str, &str)], region: &str) -> String {
     let template = include_str!("../../deploy/settings.ini");
@@ -299,7 +312,8 @@
     let text = values.iter().fold(text, |text, (name, value)| {
         text.replace(&format!("{{{{{name}}}}}"), value)
     });
-    // The other placeholders stand for numbers.
+    // The other placeholders stand for numbers, and the other sections for what this deployment doesn't have.
+    let text = without_sections(&text);
     let mut rendered = String::new();
     let mut rest = &*text;
     while let Some((before, after)) = rest.split_once("{{") {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -20,6 +20,8 @@
 mod evacuation_path;
 mod fixtures;
 mod fleet_limits;
+mod forward_cold;
+mod forward_cold_simulation;
 mod forward_config_freshness;
 mod forward_connections;
 mod forward_drain;
