Divide engines between prefill and decode by measured engine time

Change: hosts report the engine time of prompts and generations, the order giver plans both ways, and all hosts hear of a change before the engine is ordered.

--- a/src/connection/forward/reports.rs
+++ b/src/connection/forward/reports.rs
@@ -11,9 +11,11 @@
 
 use crate::connection::codec;
 use crate::prelude::*;
+use crate::process::forwarding::directory::OrderedStage;
 use crate::process::forwarding::peers::HostReport;
 use crate::process::forwarding::report_exchange::ReportLink;
 use crate::process::forwarding::report_sections::ReportSection;
+use crate::process::forwarding::stage_load::StageSums;
 use crate::process::metrics;
 
 /// The largest report, in bytes; a UDP datagram carries somewhat more.
@@ -27,6 +29,8 @@
 
 /// The numbers of sections. They are part of the protocol: a number is never given to another section.
 const STORE_GENERATION: u8 = 1;
+const STAGE_LOAD: u8 = 6;
+const STAGE_CHANGES: u8 = 7;
 
 /// Encodes a report and its sections. Sections that would make it too large are left out, those with the highest numbers first.
 ///
@@ -89,6 +93,8 @@
         ReportSection::StoreGeneration(generation) => {
             Ok((STORE_GENERATION, codec::encode(generation)?))
         }
+        ReportSection::StageLoad(sums) => Ok((STAGE_LOAD, codec::encode(sums)?)),
+        ReportSection::StageChanges(changes) => Ok((STAGE_CHANGES, codec::encode(changes)?)),
     }
 }
 
@@ -97,6 +103,10 @@
     let section = match number {
         STORE_GENERATION => codec::decode_exactly::<Generation, MAX_SECTION_BYTES>(body)
             .map(ReportSection::StoreGeneration),
+        STAGE_LOAD => codec::decode_exactly::<Vec<(ModelId, StageSums)>, MAX_SECTION_BYTES>(body)
+            .map(ReportSection::StageLoad),
+        STAGE_CHANGES => codec::decode_exactly::<Vec<OrderedStage>, MAX_SECTION_BYTES>(body)
+            .map(ReportSection::StageChanges),
         _ => return None,
     };
     Some(section)
--- a/src/process/forwarding.rs
+++ b/src/process/forwarding.rs
@@ -16,6 +16,7 @@
 pub mod settings;
 pub mod source;
 pub mod stage_controller;
+pub mod stage_load;
 pub mod stage_plan;
 pub mod state_codec;
 pub mod store_watchers;
--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -104,6 +104,24 @@
 /// The time for which an upstream that stated that it leaves is remembered after its entry has gone.
 const LEAVING_TTL: Duration = Duration::from_mins(10);
 
+/// The time for which an engine that was ordered to change its stage gets no work unless it registers the new stage before: it finishes
+/// what runs, and changes in some seconds. An order that was not carried out costs no more.
+const STAGE_CHANGE_TTL: Duration = Duration::from_secs(12);
+
+/// The most changes of stages that are remembered, far more than are ordered at a time.
+const MAX_STAGE_CHANGES: usize = 256;
+
+/// An order to an engine to change its stage.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderedStage {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// The start of its process in Unix milliseconds.
+    pub born: u64,
+    /// The stage that it changes to.
+    pub stage: Stage,
+}
+
 /// The most changes of the list that a report tells; they fit into a datagram beside the rest of a report.
 const MAX_REPORTED_CHANGES: usize = 128;
 
@@ -159,6 +177,8 @@
     leaving: HashMap<UpstreamId, (u64, Instant)>,
     /// The upstreams to report as left: the id, and the start in Unix milliseconds.
     left: RecentNews<(UpstreamId, u64)>,
+    /// The engines that change their stage. They get no work until they register it.
+    changing: RecentNews<OrderedStage>,
 }
 
 impl Default for Directory {
@@ -172,6 +192,7 @@
     pub fn new(settings: DirectorySettings) -> Self {
         Self {
             left: RecentNews::new(settings.left_report_ttl),
+            changing: RecentNews::new(STAGE_CHANGE_TTL),
             settings,
             instances: HashMap::new(),
             by_service: HashMap::new(),
@@ -252,6 +273,7 @@
         self.last_listed = Some(requested_at);
         self.last_read = Some(requested_at);
         self.marked.retain(|_, (_, at)| *at >= requested_at);
+        self.changing.drop_expired(requested_at);
         self.leaving.retain(|id, (_, at)| {
             // The entry of one that leaves may lapse during an outage and come back.
             let age = requested_at.saturating_duration_since(*at);
@@ -402,6 +424,36 @@
         true
     }
 
+    /// Records that an engine is ordered to change its stage, as a host within `reach` told. Returns whether this host did not know of it.
+    pub fn mark_changing(&mut self, ordered: OrderedStage, reach: Reach, now: Instant) -> bool {
+        let known = self.instances.get(&ordered.upstream);
+        let applies = known.is_some_and(|known| {
+            known.born == ordered.born
+                && known.stage != ordered.stage
+                && known.stage != Stage::Whole
+        });
+        if !applies || self.changing.len() >= MAX_STAGE_CHANGES {
+            return false;
+        }
+        let is_new = self.changing.add(ordered, reach, now);
+        if is_new {
+            self.rebuild_index();
+        }
+        is_new
+    }
+
+    /// Returns the engines that change their stage, as told within `reach`.
+    pub fn changing(&mut self, reach: Reach, now: Instant) -> Vec<OrderedStage> {
+        self.changing.within(reach, now)
+    }
+
+    /// Returns all upstreams of a service that neither drain nor leave, with those that change their stage.
+    pub fn staying(&self, service: &str) -> Vec<Arc<Instance>> {
+        let of_service = self.instances.values().filter(|i| *i.service == *service);
+        let staying = of_service.filter(|i| self.stays(i));
+        staying.cloned().collect()
+    }
+
     /// Returns the upstreams that recently left as found within `reach`, each with its start in Unix milliseconds.
     pub fn recently_left(&mut self, reach: Reach, now: Instant) -> Vec<(UpstreamId, u64)> {
         self.left.within(reach, now)
@@ -433,8 +485,18 @@
         self.instances.is_empty()
     }
 
-    /// Returns whether an instance neither drains, nor leaves, nor was found to have left.
+    /// Returns whether an instance stays and does not change its stage.
     fn takes_work(&self, instance: &Instance) -> bool {
+        let changes = self.changing.iter().any(|ordered| {
+            ordered.upstream == instance.id
+                && ordered.born == instance.born
+                && ordered.stage != instance.stage
+        });
+        self.stays(instance) && !changes
+    }
+
+    /// Returns whether an instance neither drains, nor leaves, nor was found to have left.
+    fn stays(&self, instance: &Instance) -> bool {
         let mut marks = [&self.marked, &self.leaving].into_iter();
         let is_marked = marks.any(|marked| {
             let mark = marked.get(&instance.id);
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -8,7 +8,7 @@
 
 use crate::prelude::*;
 use crate::process::forwarding::directory::{
-    Directory, DirectoryChange, Instance, ListNews, NewsOutcome,
+    Directory, DirectoryChange, Instance, ListNews, NewsOutcome, OrderedStage,
 };
 use crate::process::forwarding::load::LoadTracker;
 use crate::process::forwarding::peers::PeerTable;
@@ -19,6 +19,7 @@
 use crate::process::forwarding::service_queues::ServiceQueues;
 use crate::process::forwarding::settings::ForwardingSettings;
 use crate::process::forwarding::source::{Reach, Source};
+use crate::process::forwarding::stage_load::StageLoad;
 use crate::process::forwarding::usage::UsageTracker;
 use crate::process::message::CrashReport;
 use crate::process::metrics;
@@ -46,6 +47,8 @@
     pub usage: UsageTracker,
     /// This host's share of the fleet's retries.
     pub retries: HostRetryBudget,
+    /// The engine time that prompts and generations take.
+    pub stage_load: StageLoad,
     /// The requests that wait for free memory at engines.
     pub queues: Arc<ServiceQueues>,
     directory: ShardedLock<Directory>,
@@ -82,6 +85,7 @@
             loads: LoadTracker::new(settings.load.clone()),
             usage: UsageTracker::new(settings.usage.clone()),
             retries: HostRetryBudget::new(settings.retries.clone()),
+            stage_load: StageLoad::default(),
             queues: Arc::default(),
             directory: ShardedLock::new(Directory::new(settings.directory.clone())),
             peers: Mutex::default(),
@@ -208,6 +212,14 @@
         self.change_directory(|d| d.recently_left(reach, now))
     }
 
+    /// Records that an engine is ordered to change its stage, as a host within `reach` told: it gets no work meanwhile.
+    pub fn mark_changing(&self, ordered: &OrderedStage, reach: Reach, now: Instant) {
+        if self.change_directory(|d| d.mark_changing(ordered.clone(), reach, now)) {
+            log::info!(target: "upstream", "engine {} changes to stage {:?}; it gets no work until then", ordered.upstream, ordered.stage);
+            self.request_report();
+        }
+    }
+
     /// Records that the list of upstreams could not be read.
     pub fn record_list_failure(&self) {
         self.change_directory(Directory::record_read_failure);
@@ -392,15 +404,40 @@
     }
 
     /// Returns what parts add to a report that sums up the hosts within `reach`.
-    pub fn report_sections(&self, _reach: Reach, _now: Instant) -> Vec<ReportSection> {
-        Vec::new()
+    pub fn report_sections(&self, reach: Reach, now: Instant) -> Vec<ReportSection> {
+        let mut sections = Vec::new();
+        let stage_load = self.stage_load.report(reach, now);
+        if !stage_load.is_empty() {
+            sections.push(ReportSection::StageLoad(stage_load));
+        }
+        let changing = self.change_directory(|d| d.changing(reach, now));
+        if !changing.is_empty() {
+            sections.push(ReportSection::StageChanges(changing));
+        }
+        sections
     }
 
     /// Applies a section of another host's report. `source` is what the report sums up; `None` if this host hears of it from
-    /// another source.
-    pub fn apply_section(&self, section: &ReportSection, _source: Option<&Source>, _now: Instant) {
+    /// another source. `found` is the reach within which its news counts as found.
+    pub fn apply_section(
+        &self,
+        section: &ReportSection,
+        source: Option<&Source>,
+        found: Reach,
+        now: Instant,
+    ) {
         match section {
             ReportSection::StoreGeneration(_) => {}
+            ReportSection::StageChanges(changing) => {
+                for ordered in changing {
+                    self.mark_changing(ordered, found, now);
+                }
+            }
+            ReportSection::StageLoad(sums) => {
+                if let Some(source) = source {
+                    self.stage_load.apply_report(source, sums, now);
+                }
+            }
         }
     }
 
--- a/src/process/forwarding/recent_news.rs
+++ b/src/process/forwarding/recent_news.rs
@@ -38,7 +38,23 @@
         entries.map(|(_, _, item)| item.clone()).collect()
     }
 
-    fn drop_expired(&mut self, now: Instant) {
+    /// Returns all pieces, expired ones included that were not dropped yet.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.entries.iter().map(|(_, _, item)| item)
+    }
+
+    /// Returns the number of pieces, expired ones included that were not dropped yet.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there are no pieces.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Drops the pieces whose time to live has ended.
+    pub fn drop_expired(&mut self, now: Instant) {
         let ttl = self.ttl;
         self.entries
             .retain(|(at, _, _)| now.saturating_duration_since(*at) < ttl);
--- a/src/process/forwarding/report_exchange.rs
+++ b/src/process/forwarding/report_exchange.rs
@@ -246,9 +246,6 @@
         if let Some(source) = &source {
             self.apply_sums(source, report, now);
         }
-        for section in &report.sections {
-            self.state.apply_section(section, source.as_ref(), now);
-        }
         // Only what hosts of the same data centre found themselves is news for the relays of others.
         let is_neighbour = sender.data_centre == self.own.data_centre;
         let found = if is_neighbour && report.reach == Reach::Host {
@@ -256,6 +253,10 @@
         } else {
             Reach::Fleet
         };
+        for section in &report.sections {
+            self.state
+                .apply_section(section, source.as_ref(), found, now);
+        }
         for crash in &report.crashes {
             self.state.record_crash(crash, found, now);
         }
--- a/src/process/forwarding/report_sections.rs
+++ b/src/process/forwarding/report_sections.rs
@@ -4,10 +4,16 @@
 //! understand each other's reports.
 
 use crate::prelude::*;
+use crate::process::forwarding::directory::OrderedStage;
+use crate::process::forwarding::stage_load::StageSums;
 
 /// The state of one part, as a report carries it. The sender leaves a section out that says nothing.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ReportSection {
     /// The newest generation of the store that the sender knows of.
     StoreGeneration(Generation),
+    /// The engine time that the prompts and generations of each service take, as measured.
+    StageLoad(Vec<(ModelId, StageSums)>),
+    /// The engines that were ordered to change their stage and have not done so.
+    StageChanges(Vec<OrderedStage>),
 }
--- a/src/process/forwarding/stage_controller.rs
+++ b/src/process/forwarding/stage_controller.rs
@@ -8,9 +8,13 @@
 use std::time::{Duration, Instant};
 
 use crate::prelude::*;
+use crate::process::forwarding::directory::OrderedStage;
 use crate::process::forwarding::fleet::FleetState;
 use crate::process::forwarding::peers::Registration;
-use crate::process::forwarding::stage_plan::{StageChange, StagePlanSettings, plan_stage_changes};
+use crate::process::forwarding::source::Reach;
+use crate::process::forwarding::stage_plan::{
+    ServiceLoad, StageChange, StagePlanSettings, plan_stage_changes,
+};
 use crate::process::orders::leadership::LeaderRecord;
 use crate::request::forward::codec::{CallCodec, StageOrder};
 use crate::request::forward::transport::{SendLimits, UpstreamTransport};
@@ -30,6 +34,10 @@
 /// The end of the lease that is not used, in case this host is slow or stalls for a moment.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
 
+/// The time, on top of that of the reports, between the announcement of a change of stage to the other hosts and the order: a request that
+/// was sent before reaches the engine within it.
+const ANNOUNCEMENT_MARGIN: Duration = Duration::from_millis(300);
+
 /// The time for which an engine gets no second order: it takes some seconds to change its stage and register the new one.
 const REORDER_DELAY: Duration = Duration::from_secs(15);
 
@@ -114,19 +122,26 @@
     /// Returns the stage changes that are due. Engines that were recently ordered to change count as changed.
     fn due_changes(&self, ordered: &HashMap<UpstreamId, Instant>) -> Vec<StageChange> {
         let table = self.state.config.current();
-        let engines = table
-            .services
-            .values()
-            .filter(|service| service.engine.is_some());
+        let now = self.clock.now();
         let is_ordered = |id: &UpstreamId| ordered.contains_key(id);
-        let changes = engines.flat_map(|service| {
-            plan_stage_changes(
-                &self.settings,
-                &self.state.available_upstreams(&service.id),
-                is_ordered,
-            )
-        });
-        changes.collect()
+        let mut changes = Vec::new();
+        for service in table.services.values() {
+            let Some(engine) = service.engine else {
+                continue;
+            };
+            let load = ServiceLoad {
+                sums: self.state.stage_load.sums(&service.id, now),
+                kv_tokens: engine.kv_tokens,
+            };
+            let engines = self.state.with_directory(|d| d.staying(&service.id));
+            let planned = plan_stage_changes(&self.settings, &engines, &load, is_ordered);
+            if let Some(first) = planned.first() {
+                let ms = |seconds: Option<f64>| (seconds.unwrap_or_default() * 1e3).round();
+                log::info!(target: "orders", "service {}: {} of {} engines should change to stage {:?}; a request takes {} ms of a prefill engine and {} ms of a decode engine", service.id, planned.len(), engines.len(), first.stage, ms(load.sums.prefill_seconds()), ms(load.sums.decode_seconds(load.kv_tokens)));
+            }
+            changes.extend(planned);
+        }
+        changes
     }
 
     /// Acquires the lease and waits for `handover_delay`, unless the fleet has just started for the first time.
@@ -152,13 +167,26 @@
         })
     }
 
-    /// Sends the orders that are due, as long as the lease outlasts their time limit.
+    /// Sends the orders that are due, as long as the lease outlasts their time limit. All hosts hear of the changes first, so that no
+    /// request is on its way to an engine that then refuses it.
     async fn send_orders(&self, lease: &OrderLease, ordered: &mut HashMap<UpstreamId, Instant>) {
-        for change in self
-            .due_changes(ordered)
-            .into_iter()
-            .take(MAX_ORDERS_PER_CHECK)
-        {
+        let mut changes = self.due_changes(ordered);
+        changes.truncate(MAX_ORDERS_PER_CHECK);
+        let now = self.clock.now();
+        let announcement_delay = self.state.report_delay() + ANNOUNCEMENT_MARGIN;
+        if now + announcement_delay + ORDER_TIMEOUT > lease.valid_until {
+            return;
+        }
+        for change in &changes {
+            let announced = OrderedStage {
+                upstream: change.instance.id.clone(),
+                born: change.instance.born,
+                stage: change.stage,
+            };
+            self.state.mark_changing(&announced, Reach::Host, now);
+        }
+        tokio::time::sleep(announcement_delay).await;
+        for change in changes {
             let now = self.clock.now();
             if now + ORDER_TIMEOUT > lease.valid_until {
                 return;
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -44,6 +44,8 @@
     possible_runs: u32,
     /// The capacity reserved at another engine to continue a stalled stream.
     resume_capacity: Option<DecodeCapacity>,
+    /// Since when a decode engine has kept memory for the request.
+    held_since: Option<Instant>,
 }
 
 /// Runs a generation up to the head of its stream.
@@ -68,6 +70,7 @@
         retries_taken: 0,
         possible_runs: 0,
         resume_capacity: None,
+        held_since: None,
     };
     let hold_time = cx
         .state
@@ -75,6 +78,7 @@
         .predicted_hold_time(service, generation.output_tokens());
     check_drain_deadline(cx, hold_time)?;
     let capacity = generation.wait_for_capacity(record).await?;
+    generation.held_since = Some(cx.clock.now());
     // Equal requests may have crashed engines meanwhile.
     check_quarantine(cx, call)?;
     let mut prompt = if capacity.attempt.includes_prefill() {
@@ -156,6 +160,10 @@
         state
             .queues
             .record_hold_time(&self.service, held, self.output_tokens());
+        let occupied = now.saturating_duration_since(self.held_since.unwrap_or(sent_at));
+        state
+            .stage_load
+            .record_generation(&self.service, self.final_kv_tokens(), occupied, now);
         state.record_sound_parts(&self.call.part_fingerprints(), sent_at, now);
     }
 
@@ -184,6 +192,14 @@
             .map_or(0, TokenCounts::expected_kv_tokens)
     }
 
+    /// Returns the KV memory that the request is expected to take at its end.
+    fn final_kv_tokens(&self) -> Tokens {
+        self.call
+            .head
+            .tokens
+            .map_or(0, |tokens| tokens.prompt.saturating_add(tokens.output / 2))
+    }
+
     fn choose_upstream(
         &self,
         purpose: Purpose,
--- a/src/request/forward/generation/prefill.rs
+++ b/src/request/forward/generation/prefill.rs
@@ -122,6 +122,11 @@
         match parsed {
             Ok(response) => {
                 attempt.record_duration((queued + tokens) as f64);
+                let now = cx.clock.now();
+                let took = now.saturating_duration_since(attempt.sent_at);
+                cx.state
+                    .stage_load
+                    .record_prefill(&self.service, tokens, queued, took, now);
                 attempt.end(CallOutcome::Answered);
                 let ttl = self
                     .engine
--- a/tests/suite/forward_fleet.rs
+++ b/tests/suite/forward_fleet.rs
@@ -21,7 +21,9 @@
     Candidate, PredictedTimeSelection, Purpose, Requirements, Selection, SelectionSettings,
 };
 use hibiscusspread::process::forwarding::source::{Reach, Source};
-use hibiscusspread::process::forwarding::stage_plan::{StagePlanSettings, plan_stage_changes};
+use hibiscusspread::process::forwarding::stage_plan::{
+    ServiceLoad, StagePlanSettings, plan_stage_changes,
+};
 use hibiscusspread::process::forwarding::wait_queue::{WaitQueue, Waiter};
 
 /// The revision of the store of lists of upstreams whose revision does not matter.
@@ -433,7 +435,8 @@
             ))
         })
         .collect();
-    let changes = plan_stage_changes(&settings, &engines, |_| false);
+    let unmeasured = ServiceLoad::default();
+    let changes = plan_stage_changes(&settings, &engines, &unmeasured, |_| false);
     assert_eq!(changes.len(), 3);
     assert!(
         changes
@@ -450,8 +453,10 @@
         .iter()
         .map(|change| change.instance.id.clone())
         .collect();
-    assert!(plan_stage_changes(&settings, &engines, |id| ordered.contains(id)).is_empty());
-    assert!(plan_stage_changes(&settings, &engines[5..9], |_| false).is_empty());
+    assert!(
+        plan_stage_changes(&settings, &engines, &unmeasured, |id| ordered.contains(id)).is_empty()
+    );
+    assert!(plan_stage_changes(&settings, &engines[5..9], &unmeasured, |_| false).is_empty());
 }
 
 /// A host of data centre `x`.
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -30,6 +30,7 @@
 mod forward_relays;
 mod forward_report_codec;
 mod forward_reservations;
+mod forward_stage_plan;
 mod forward_store_watchers;
 mod forward_usage;
 mod forward_wait_queue;
