--- a/src/connection/forward/reports.rs
+++ b/src/connection/forward/reports.rs
@@ -12,10 +12,12 @@
 use crate::connection::codec;
 use crate::prelude::*;
 use crate::process::forwarding::cold::{ColdReport, MAX_REPORTED_UPSTREAMS};
+use crate::process::forwarding::directory::OrderedStage;
 use crate::process::forwarding::evacuation::EvacuationNews;
 use crate::process::forwarding::peers::HostReport;
 use crate::process::forwarding::report_exchange::ReportLink;
 use crate::process::forwarding::report_sections::ReportSection;
+use crate::process::forwarding::stage_load::StageSums;
 use crate::process::metrics;
 
 /// The largest report, in bytes; a UDP datagram carries somewhat more.
@@ -31,6 +33,8 @@
 const STORE_GENERATION: u8 = 1;
 const EVACUATIONS: u8 = 2;
 const COLD_ENGINES: u8 = 3;
+const STAGE_LOAD: u8 = 6;
+const STAGE_CHANGES: u8 = 7;
 
 /// Encodes a report and its sections. Sections that would make it too large are left out, those with the highest numbers first.
 ///
@@ -95,6 +99,8 @@
         }
         ReportSection::Evacuations(news) => Ok((EVACUATIONS, codec::encode(news)?)),
         ReportSection::ColdEngines(reports) => Ok((COLD_ENGINES, codec::encode(reports)?)),
+        ReportSection::StageLoad(sums) => Ok((STAGE_LOAD, codec::encode(sums)?)),
+        ReportSection::StageChanges(changes) => Ok((STAGE_CHANGES, codec::encode(changes)?)),
     }
 }
 
@@ -106,6 +112,10 @@
         EVACUATIONS => codec::decode_exactly::<EvacuationNews, MAX_SECTION_BYTES>(body)
             .map(ReportSection::Evacuations),
         COLD_ENGINES => decode_cold_engines(body).map(ReportSection::ColdEngines),
+        STAGE_LOAD => codec::decode_exactly::<Vec<(ModelId, StageSums)>, MAX_SECTION_BYTES>(body)
+            .map(ReportSection::StageLoad),
+        STAGE_CHANGES => codec::decode_exactly::<Vec<OrderedStage>, MAX_SECTION_BYTES>(body)
+            .map(ReportSection::StageChanges),
         _ => return None,
     };
     Some(section)
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -14,7 +14,7 @@
     ColdEngines, ColdFleet, ColdReport, ColdStatement, ReportOutcome,
 };
 use crate::process::forwarding::directory::{
-    Directory, DirectoryChange, Instance, ListNews, NewsOutcome,
+    Directory, DirectoryChange, Instance, ListNews, NewsOutcome, OrderedStage,
 };
 use crate::process::forwarding::evacuation::EvacuationState;
 use crate::process::forwarding::load::LoadTracker;
@@ -26,6 +26,7 @@
 use crate::process::forwarding::service_queues::ServiceQueues;
 use crate::process::forwarding::settings::{ForwardingSettings, Regions};
 use crate::process::forwarding::source::{Reach, Source};
+use crate::process::forwarding::stage_load::StageLoad;
 use crate::process::forwarding::usage::UsageTracker;
 use crate::process::message::CrashReport;
 use crate::process::metrics;
@@ -64,6 +65,8 @@
     pub retries: HostRetryBudget,
     /// The regions of data centres.
     pub regions: Regions,
+    /// The engine time that prompts and generations take.
+    pub stage_load: StageLoad,
     /// The requests that wait for free memory at engines.
     pub queues: Arc<ServiceQueues>,
     /// The cold upstreams, and whether this host may send them requests.
@@ -112,6 +115,7 @@
             usage: UsageTracker::new(settings.usage.clone()),
             retries: HostRetryBudget::new(settings.retries.clone()),
             regions: settings.regions.clone(),
+            stage_load: StageLoad::default(),
             queues: Arc::default(),
             cold: Arc::new(ColdEngines::new(settings.cold.clone())),
             cold_queues: Arc::default(),
@@ -379,6 +383,14 @@
         self.change_directory(|d| d.recently_left(reach, now))
     }
 
+    /// Records that an engine is ordered to change its stage, as a host within `reach` told: it gets no work meanwhile.
+    pub fn mark_changing(&self, ordered: &OrderedStage, reach: Reach, now: Instant) {
+        if self.change_directory(|d| d.mark_changing(ordered.clone(), reach, now)) {
+            log::info!(target: "upstream", "engine {} changes to stage {:?}; it gets no work until then", ordered.upstream, ordered.stage);
+            self.request_report();
+        }
+    }
+
     /// Records that the list of upstreams could not be read.
     pub fn record_list_failure(&self) {
         self.change_directory(Directory::record_read_failure);
@@ -570,22 +582,39 @@
         if !cold.is_empty() {
             sections.push(ReportSection::ColdEngines(cold));
         }
+        let stage_load = self.stage_load.report(reach, now);
+        if !stage_load.is_empty() {
+            sections.push(ReportSection::StageLoad(stage_load));
+        }
+        let changing = self.change_directory(|d| d.changing(reach, now));
+        if !changing.is_empty() {
+            sections.push(ReportSection::StageChanges(changing));
+        }
         sections
     }
 
     /// Applies a section of another host's report. `source` is what the report sums up; `None` if this host hears of it from
-    /// another source.
-    pub fn apply_section(&self, section: &ReportSection, source: Option<&Source>, now: Instant) {
+    /// another source. `found` is the reach within which its news counts as found.
+    pub fn apply_section(
+        &self,
+        section: &ReportSection,
+        source: Option<&Source>,
+        found: Reach,
+        now: Instant,
+    ) {
         match section {
             ReportSection::StoreGeneration(_) => {}
             ReportSection::Evacuations(news) => self.apply_evacuation_news(news, now),
-            ReportSection::ColdEngines(reports) => {
-                // A relay passes what hosts of its data centre found on to the relays of others, and all of it to its hosts.
-                let found = match source {
-                    Some(Source::Host(_)) => Reach::DataCentre,
-                    _ => Reach::Fleet,
-                };
-                self.apply_cold_reports(reports, found, now);
+            ReportSection::ColdEngines(reports) => self.apply_cold_reports(reports, found, now),
+            ReportSection::StageChanges(changing) => {
+                for ordered in changing {
+                    self.mark_changing(ordered, found, now);
+                }
+            }
+            ReportSection::StageLoad(sums) => {
+                if let Some(source) = source {
+                    self.stage_load.apply_report(source, sums, now);
+                }
             }
         }
     }
--- a/src/process/forwarding/report_sections.rs
+++ b/src/process/forwarding/report_sections.rs
@@ -5,7 +5,9 @@
 
 use crate::prelude::*;
 use crate::process::forwarding::cold::ColdReport;
+use crate::process::forwarding::directory::OrderedStage;
 use crate::process::forwarding::evacuation::EvacuationNews;
+use crate::process::forwarding::stage_load::StageSums;
 
 /// The state of one part, as a report carries it. The sender leaves a section out that says nothing.
 #[derive(Debug, Clone, PartialEq)]
@@ -16,4 +18,8 @@
     Evacuations(EvacuationNews),
     /// The upstreams that were recently found cold.
     ColdEngines(Vec<ColdReport>),
+    /// The engine time that the prompts and generations of each service take, as measured.
+    StageLoad(Vec<(ModelId, StageSums)>),
+    /// The engines that were ordered to change their stage and have not done so.
+    StageChanges(Vec<OrderedStage>),
 }
--- a/tests/suite/evacuation.rs
+++ b/tests/suite/evacuation.rs
@@ -28,7 +28,9 @@
 use hibiscusspread::process::forwarding::settings::ForwardingSettings;
 use hibiscusspread::process::forwarding::source::Reach;
 use hibiscusspread::process::forwarding::stage_controller::StageController;
-use hibiscusspread::process::forwarding::stage_plan::{StagePlanSettings, plan_stage_changes};
+use hibiscusspread::process::forwarding::stage_plan::{
+    ServiceLoad, StagePlanSettings, plan_stage_changes,
+};
 use hibiscusspread::process::forwarding::state_codec::StateCodec;
 use hibiscusspread::process::forwarding::wait_queue::Waiter;
 use hibiscusspread::process::shard::lock;
@@ -212,7 +214,7 @@
     let ordered_in = |data_centre: &str| {
         let settings = StagePlanSettings::default();
         let engines = state.available_upstreams("writers");
-        let changes = plan_stage_changes(&settings, &engines, |_| false);
+        let changes = plan_stage_changes(&settings, &engines, &ServiceLoad::default(), |_| false);
         let changes = changes.iter();
         changes
             .filter(|change| &*change.instance.data_centre == data_centre)
@@ -580,7 +582,7 @@
             .is_err()
     );
     let section = ReportSection::Evacuations(news(9, &["x"]));
-    state.apply_section(&section, None, now + millis(1));
+    state.apply_section(&section, None, Reach::Fleet, now + millis(1));
     let waiting = state.wait_for_unverified_evacuations(millis(100));
     assert!(
         tokio::time::timeout(Duration::from_secs(5), waiting)
--- a/tests/suite/evacuation_fleet.rs
+++ b/tests/suite/evacuation_fleet.rs
@@ -24,6 +24,7 @@
 };
 use hibiscusspread::process::forwarding::report_sections::ReportSection;
 use hibiscusspread::process::forwarding::settings::ForwardingSettings;
+use hibiscusspread::process::forwarding::source::Reach;
 use hibiscusspread::process::forwarding::store_watchers::StoreWatchers;
 use hibiscusspread::process::shard::lock;
 use hibiscusspread::process::store::AsOf;
@@ -635,7 +636,7 @@
             for host in &fleet.hosts {
                 let now = Instant::now().into_std();
                 let section = forged(data_centres);
-                host.state.apply_section(&section, None, now);
+                host.state.apply_section(&section, None, Reach::Fleet, now);
             }
             let refuted = fleet.wait_until_served(&["x", "y", "z"], Duration::from_secs(2));
             println!("refuted after {:?}", refuted.await);
@@ -656,7 +657,8 @@
         for _ in 0..100 {
             for host in &fleet.hosts {
                 let now = Instant::now().into_std();
-                host.state.apply_section(&forged(&["x"]), None, now);
+                host.state
+                    .apply_section(&forged(&["x"]), None, Reach::Fleet, now);
             }
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
--- a/tests/suite/forward_cold.rs
+++ b/tests/suite/forward_cold.rs
@@ -457,7 +457,7 @@
     let stated = [statement(&engine, millis(3000), 1)];
     state.apply_list(vec![engine.clone()], &stated, 2, now, now);
     let section = ReportSection::ColdEngines(vec![report(&engine, millis(3000))]);
-    state.apply_section(&section, None, now);
+    state.apply_section(&section, None, Reach::Fleet, now);
     assert!(state.report_sections(Reach::Fleet, now).is_empty());
     assert!(state.cold_limits("writers").is_none());
     assert!(is_open(&state.cold, &engine, now));
