--- a/src/process/forwarding/stage_plan.rs
+++ b/src/process/forwarding/stage_plan.rs
@@ -22,8 +22,8 @@
     pub min_engines: usize,
     /// The utilization at which the measured load is assumed when engines are divided.
     pub planned_utilization: f64,
-    /// The difference between planned and present prefill engines, as a fraction of all engines, up to which engines keep their stages.
-    /// Measurements vary, and an engine that changes its stage is away for seconds.
+    /// The difference between planned and present prefill engines, as a fraction of all engines but one engine at least, up to which
+    /// engines keep their stages. Measurements vary, and an engine that changes its stage is away for seconds.
     pub tolerance: f64,
     /// The fraction of the engines that may change at once for a measured plan, as they are missing meanwhile.
     pub max_changing: f64,
@@ -83,7 +83,7 @@
         let prefill_spread = prefilling.sqrt();
         let decode_spread = (decoding / requests_per_engine).sqrt();
         let wanted = prefilling + spare * prefill_spread / (prefill_spread + decode_spread);
-        (wanted.round(), count * self.tolerance)
+        (wanted, (count * self.tolerance).max(1.0))
     }
 
     /// Returns how many engines may begin to change while `changing` of `count` do.
@@ -126,10 +126,11 @@
     let prefill_count = prefilling.len() + arriving;
     // The count is small and not negative.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let target = (wanted as usize).clamp(2, count - 1);
+    let target = (wanted.round() as usize).clamp(2, count - 1);
     let allowed = settings.allowed_changes(count, changing.len(), is_measured);
     let mut changes = Vec::new();
-    if prefill_count as f64 > target as f64 + tolerance {
+    let present = prefill_count as f64;
+    if present > wanted + tolerance {
         for _ in (target..prefill_count).take(allowed) {
             let Some(instance) = take_from_fullest(&mut prefilling) else {
                 break;
@@ -139,7 +140,7 @@
                 stage: Stage::Decode,
             });
         }
-    } else if is_measured && (prefill_count as f64) < target as f64 - tolerance {
+    } else if is_measured && present < wanted - tolerance {
         for _ in (prefill_count..target).take(allowed) {
             let Some(instance) = take_least_served(&mut decoding, &prefilling, &changes) else {
                 break;
