Show that a host outgrows its memory on the bodies of running streams

Two of three hosts are lost, the third gets their traffic, and its process grows past the memory of the machine and is killed as the platform says. Bookings that had run on kept connections get no answer. body_memory bounds bodies only until the head of a response arrives, while a stream holds its body to its end.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -11,6 +11,8 @@
 
 #[path = "../6/case.rs"]
 mod case_6;
+#[path = "../7/case.rs"]
+mod case_7;
 
 use std::path::Path;
 use std::thread;
@@ -33,6 +35,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let broken = match &**case {
         "6" => case_6::run(Path::new(folder), has_trouble),
+        "7" => case_7::run(Path::new(folder), has_trouble),
         _ => host::give_up("no such case"),
     };
     for line in &broken {
