Show that a resumed stream is cut at its first runner's length and looks whole

Case 7, rule ORDER. A runner states the Content-Length of its stream and crashes; another one goes on, with smaller events that take more bytes. The host passes on the first runner's Content-Length, so the client's answer ends there: status 200, complete for HTTP, without the last tokens. The case of the memory becomes case 8.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -13,6 +13,8 @@
 mod case_6;
 #[path = "../7/case.rs"]
 mod case_7;
+#[path = "../8/case.rs"]
+mod case_8;
 
 use std::path::Path;
 use std::thread;
@@ -36,6 +38,7 @@
     let broken = match &**case {
         "6" => case_6::run(Path::new(folder), has_trouble),
         "7" => case_7::run(Path::new(folder), has_trouble),
+        "8" => case_8::run(Path::new(folder), has_trouble),
         _ => host::give_up("no such case"),
     };
     for line in &broken {
