Show that bookings are lost by a panic on a long Keep-Alive time

A runner states the largest 64-bit number of seconds; each booking that it runs panics in the host and gets no answer.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -15,6 +15,8 @@
 mod case_7;
 #[path = "../8/case.rs"]
 mod case_8;
+#[path = "../9/case.rs"]
+mod case_9;
 
 use std::path::Path;
 use std::thread;
@@ -39,6 +41,7 @@
         "6" => case_6::run(Path::new(folder), has_trouble),
         "7" => case_7::run(Path::new(folder), has_trouble),
         "8" => case_8::run(Path::new(folder), has_trouble),
+        "9" => case_9::run(Path::new(folder), has_trouble),
         _ => host::give_up("no such case"),
     };
     for line in &broken {
