Show that an error answer which hangs midway has no time limit

Case 10, rule CONFIG, from entry 8 of KNOWN-RED.txt, with a new script: an engine answers 500, sends half of the body and hangs. Neither the route's timeout nor the client's deadline ends the answer.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -9,6 +9,8 @@
 mod runner;
 mod store;
 
+#[path = "../10/case.rs"]
+mod case_10;
 #[path = "../6/case.rs"]
 mod case_6;
 #[path = "../7/case.rs"]
@@ -42,6 +44,7 @@
         "7" => case_7::run(Path::new(folder), has_trouble),
         "8" => case_8::run(Path::new(folder), has_trouble),
         "9" => case_9::run(Path::new(folder), has_trouble),
+        "10" => case_10::run(Path::new(folder), has_trouble),
         _ => host::give_up("no such case"),
     };
     for line in &broken {
