End every body that is passed on at the deadline and when the host stops

What callers saw: an engine answered with status 500 and hung in the middle of the body.

Cause: error answers of engines, and answers of plain services above 256 KiB, were passed on by bodies that knew neither the deadline of the request nor a stop of the host. Their attempts ended as answered at the head, so the hanging upstream counted as sound.

Evidence: the log had outcome=answered within milliseconds for requests whose connections stayed open for seconds.

Change: a short response is held until it is whole, also an error of an engine, and is replaced by 502 or 504 if it isn't in time; an error has 1.5 s from its head at most. Every other body is passed on by request::forward::relay, which ends it at the deadline or when the host stops. Event streams use it too and have no deadline of their own any more. The outcome of an attempt is recorded at the end of its body, and a deadline that passes while the caller is slow to read is not held against the upstream.

--- a/src/process/forwarding/host.rs
+++ b/src/process/forwarding/host.rs
@@ -34,7 +34,8 @@
 /// The time before the end of the grace period at which a draining host cuts off open requests, to announce that it leaves.
 const GRACE_MARGIN: Duration = Duration::from_millis(350);
 
-/// The time before open requests are cut off in which a draining host answers those that no upstream has answered.
+/// The time before open connections are closed in which a draining host answers requests that no upstream has answered, and ends the
+/// responses that are still being passed on.
 const FINAL_ANSWER_TIME: Duration = Duration::from_millis(150);
 
 /// The longest time after its start for which a host is not ready because it has not heard of the others' grants.
@@ -189,7 +190,7 @@
 
     /// Shuts the host down gracefully: it reports that it is not ready, closes kept-alive connections after the answers under way,
     /// accepts new connections until the load balancer has noticed, and lets open requests finish within the grace period. Requests
-    /// without an answer get one shortly before its end; streams that still run then are cut off.
+    /// without an answer get one shortly before its end; responses that are still being passed on then are cut off.
     pub async fn drain(self) {
         let times = *lock(&self.drain_times);
         let open = times.grace.saturating_sub(GRACE_MARGIN);
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -8,6 +8,8 @@
 pub mod generation;
 pub mod plain;
 pub mod record;
+pub mod relay;
+pub mod response;
 pub mod settings;
 pub mod stream;
 pub mod transport;
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode, response};
 use http_body_util::Full;
 use smallvec::SmallVec;
@@ -519,10 +518,3 @@
         candidate.load.unanswered.as_millis()
     )
 }
-
-/// Returns whether a response states a length of at most `limit` bytes, or no length.
-pub fn may_be_buffered(response: &Response<UpstreamBody>, limit: usize) -> bool {
-    let length = response.headers().get(CONTENT_LENGTH);
-    let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    length.is_none_or(|length| length <= limit)
-}
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures_util::future::{BoxFuture, FutureExt, TryFutureExt};
+use futures_util::future::{BoxFuture, FutureExt};
 use http::Response;
 
 use crate::prelude::*;
@@ -17,9 +17,9 @@
 use crate::request::forward::codec::CallCodec;
 use crate::request::forward::generation;
 use crate::request::forward::plain;
-use crate::request::forward::record::{ForwardRecord, Outcome};
+use crate::request::forward::record::ForwardRecord;
+use crate::request::forward::response::ForwardResponse;
 use crate::request::forward::settings::ForwardSettings;
-use crate::request::forward::stream::EventRelay;
 use crate::request::forward::transport::{UpstreamBody, UpstreamTransport};
 use crate::version::forwarding::{ForwardCustomer, ForwardRoute, ForwardingTable};
 
@@ -108,12 +108,7 @@
         }
     };
     match response {
-        Ok(ForwardResponse::Whole(response)) => {
-            record.record_first_part();
-            record.finish(Outcome::Answered, response.status().as_u16());
-            Ok(response)
-        }
-        Ok(ForwardResponse::Stream(stream)) => Ok(stream.into_response(record)),
+        Ok(response) => Ok(response.into_http(&cx, call.deadline, record)),
         Err(refusal) => {
             record.refused(&refusal);
             Err(refusal)
@@ -121,14 +116,6 @@
     }
 }
 
-/// A response whose head has arrived.
-pub enum ForwardResponse {
-    /// A response that is passed on unchanged.
-    Whole(Response<UpstreamBody>),
-    /// An event stream, which may continue at another engine.
-    Stream(Box<EventRelay>),
-}
-
 /// Runs a request up to the head of its response.
 async fn run_until_head(
     cx: &Arc<ForwardContext>,
@@ -159,9 +146,7 @@
         Some(engine) if call.route.repeat.is_stream() => {
             generation::run(cx, call, service, engine, record).boxed()
         }
-        _ => plain::run(cx, call, service, record)
-            .map_ok(ForwardResponse::Whole)
-            .boxed(),
+        _ => plain::run(cx, call, service, record).boxed(),
     };
     let response = response.await;
     // A caller that disconnects drops this future and gets no refund: its request may have run.
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -20,11 +20,12 @@
 };
 use crate::request::forward::call::{Call, CallPart, TokenCounts};
 use crate::request::forward::flow::{
-    ForwardContext, ForwardResponse, check_drain_deadline, check_quarantine, unserved_refusal,
+    ForwardContext, check_drain_deadline, check_quarantine, unserved_refusal,
 };
 use crate::request::forward::generation::prefill::PrefilledPrompt;
 use crate::request::forward::generation::reservation::{DecodeCapacity, Reservation};
 use crate::request::forward::record::ForwardRecord;
+use crate::request::forward::response::ForwardResponse;
 use crate::request::forward::stream::EventRelay;
 use crate::request::forward::transport::UpstreamBody;
 use crate::version::forwarding::{EngineLimits, Homes, RepeatPolicy};
@@ -100,25 +101,32 @@
         let source = prompt
             .as_mut()
             .filter(|prompt| cx.clock.now() < prompt.valid_until);
-        match generation
+        let decoded = generation
             .decode(capacity.take(), source, None, record)
-            .await
-        {
+            .await;
+        let failure = match decoded {
+            Ok((response, attempt)) if response.status().is_success() => {
+                let (head, body) = response.into_parts();
+                let relay = EventRelay::new(generation, attempt, body);
+                return Ok(ForwardResponse::relayed(head, relay));
+            }
             Ok((response, attempt)) => {
-                if response.status().is_success() {
-                    let relay = EventRelay::new(generation, attempt, response);
-                    return Ok(ForwardResponse::Stream(Box::new(relay)));
+                let deadline = call.deadline;
+                match ForwardResponse::receive(cx, attempt, response, deadline, |_| {}).await {
+                    Ok(response) => return Ok(response),
+                    Err(failure) => DecodeFailure::Attempt(failure),
                 }
-                attempt.end(CallOutcome::Answered);
-                return Ok(ForwardResponse::Whole(response));
             }
-            Err(DecodeFailure::NoEngine) => break,
-            Err(DecodeFailure::PromptLost(failure)) => {
+            Err(failure) => failure,
+        };
+        match failure {
+            DecodeFailure::NoEngine => break,
+            DecodeFailure::PromptLost(failure) => {
                 record.note(format_args!("prefilled prompt lost: {failure}"));
                 last_failure = failure.to_string();
                 prompt = None;
             }
-            Err(DecodeFailure::Attempt(failure)) => {
+            DecodeFailure::Attempt(failure) => {
                 record.note(&failure);
                 last_failure = failure.to_string();
                 // An engine that refuses is full or couldn't fetch the prompt, so a second engine is asked to fetch it. After
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -3,29 +3,23 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::Response;
 use smallvec::SmallVec;
 
 use crate::prelude::*;
 use crate::process::forwarding::directory::{Instance, Stage};
-use crate::process::forwarding::load::CallOutcome;
 use crate::process::forwarding::selection::{Candidate, Purpose, Requirements};
 use crate::process::forwarding::service_queues::QueueEntry;
 use crate::process::forwarding::wait_queue::Waiter;
 use crate::request::forward::attempt::{
     Attempt, AttemptFailure, CalledAddresses, SendOptions, choose_upstream, describe_choice,
-    may_be_buffered, next_cold_chance,
+    next_cold_chance,
 };
 use crate::request::forward::call::{Call, CallPart};
 use crate::request::forward::flow::{ForwardContext, check_drain_deadline, unserved_refusal};
 use crate::request::forward::record::ForwardRecord;
-use crate::request::forward::transport::{SendFailure, UpstreamBody, read_whole, whole_body};
+use crate::request::forward::response::ForwardResponse;
 use crate::version::forwarding::RepeatPolicy;
 
-/// The longest response that is buffered until it is whole, so that a call whose response breaks off can be repeated or refused. A
-/// longer one is passed on as it arrives.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
-
 /// How many times their route's target calls take at the most, but for rare ones.
 const MAX_TARGETS: u32 = 10;
 
@@ -51,7 +45,7 @@
     call: &Call,
     service: &ModelId,
     record: &mut ForwardRecord,
-) -> Result<Response<UpstreamBody>, Refusal> {
+) -> Result<ForwardResponse, Refusal> {
     let mut attempts = CallAttempts {
         cx,
         call,
@@ -63,7 +57,7 @@
     };
     check_drain_deadline(cx, longest_time(cx, call))?;
     let repeatable = call.route.repeat == RepeatPolicy::Idempotent;
-    let mut failed_response: Option<Response<UpstreamBody>> = None;
+    let mut failed_response: Option<ForwardResponse> = None;
     let mut last_failure = "no upstream takes new work".to_owned();
     let mut cold_wait = None;
     let mut tries = 0;
@@ -241,7 +235,7 @@
         mut attempt: Attempt,
         deadline: Instant,
         repeatable: bool,
-    ) -> Result<Response<UpstreamBody>, AttemptFailure> {
+    ) -> Result<ForwardResponse, AttemptFailure> {
         let settings = &self.cx.settings;
         let reuse_window = if repeatable {
             settings.reuse_window_repeatable
@@ -258,27 +252,8 @@
             deadline,
         };
         let response = attempt.send(self.call, options).await?;
-        if !may_be_buffered(&response, MAX_BUFFERED_BYTES) {
-            attempt.end(CallOutcome::Answered);
-            return Ok(response);
-        }
-        let (head, mut body) = response.into_parts();
-        let read = read_whole(&mut body, MAX_BUFFERED_BYTES);
-        let failure = match tokio::time::timeout_at(self.call.deadline.into(), read).await {
-            Ok(Ok(Some(bytes))) => {
-                attempt.record_duration(1.0);
-                attempt.end(CallOutcome::Answered);
-                return Ok(Response::from_parts(head, whole_body(bytes)));
-            }
-            Ok(Ok(None)) => SendFailure::Broken {
-                cause: format!("answer of unknown length above {MAX_BUFFERED_BYTES} bytes"),
-            },
-            Ok(Err(e)) => SendFailure::Broken {
-                cause: format!("answer broke off: {e}"),
-            },
-            Err(_) => SendFailure::Timeout,
-        };
-        attempt.end(CallOutcome::Failed);
-        Err(AttemptFailure::Send(failure))
+        let deadline = self.call.deadline;
+        let record_duration = |attempt: &Attempt| attempt.record_duration(1.0);
+        ForwardResponse::receive(self.cx, attempt, response, deadline, record_duration).await
     }
 }
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -2,18 +2,17 @@
 
 use std::time::Duration;
 
+use async_trait::async_trait;
 use bytes::Bytes;
-use futures_util::stream;
-use http::Response;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use http_body_util::BodyExt;
 
 use crate::process::forwarding::load::CallOutcome;
 use crate::request::forward::attempt::Attempt;
 use crate::request::forward::events::{EventMeter, EventSplitter, OversizedEvent};
 use crate::request::forward::generation::{DecodeFailure, Generation};
-use crate::request::forward::record::{ForwardRecord, Outcome};
-use crate::request::forward::transport::{BodyError, UpstreamBody};
+use crate::request::forward::record::ForwardRecord;
+use crate::request::forward::relay::{Interruption, RelayStep, ResponseSource};
+use crate::request::forward::transport::UpstreamBody;
 use crate::version::forwarding::RepeatPolicy;
 
 /// The longest time by which a timer fires late while the host runs. After a longer one the host was paused.
@@ -33,7 +32,6 @@
     generation: Generation,
     /// `None` while no engine works on the request: after the end of a call, until another engine accepts the rest of the stream.
     open_call: Option<OpenCall>,
-    head: http::response::Parts,
     splitter: Option<EventSplitter>,
     meter: EventMeter,
     has_first_event: bool,
@@ -48,31 +46,17 @@
 enum ReadFailure {
     /// No whole event came for a while; the engine may still send some.
     Stalled,
-    /// The deadline passed.
-    Late,
     /// The connection ended or sent what is no stream of events.
     Broken(String),
 }
 
-/// What the caller gets next.
-enum RelayStep {
-    /// Bytes to pass on.
-    Bytes(Bytes),
-    /// The whole stream was passed on.
-    End,
-    /// The stream broke off and can't be resumed.
-    Cut(String),
-}
-
 impl EventRelay {
-    /// Creates a relay for `response`, the first one of `generation`.
-    pub fn new(generation: Generation, attempt: Attempt, response: Response<UpstreamBody>) -> Self {
-        let (head, body) = response.into_parts();
+    /// Creates a relay for `body`, that of the first response of `generation`.
+    pub fn new(generation: Generation, attempt: Attempt, body: UpstreamBody) -> Self {
         let is_resumable = generation.call().route.repeat == RepeatPolicy::ResumableStream;
         Self {
             generation,
             open_call: Some(OpenCall { attempt, body }),
-            head,
             splitter: is_resumable.then(EventSplitter::default),
             meter: EventMeter::default(),
             has_first_event: false,
@@ -81,79 +65,14 @@
         }
     }
 
-    /// Creates the response to the caller. Dropping its body cancels the generation.
-    pub fn into_response(self, record: ForwardRecord) -> Response<UpstreamBody> {
-        let mut head = Response::new(()).into_parts().0;
-        head.status = self.head.status;
-        head.headers = self.head.headers.clone();
-        let status = head.status.as_u16();
-        let frames = stream::unfold(Some((self, record)), move |open| async move {
-            let (mut relay, mut record) = open?;
-            match relay.next(&mut record).await {
-                RelayStep::Bytes(bytes) => Some((Ok(Frame::data(bytes)), Some((relay, record)))),
-                RelayStep::End => {
-                    record.finish(Outcome::Answered, status);
-                    None
-                }
-                RelayStep::Cut(cause) => {
-                    record.note(&cause);
-                    record.finish(Outcome::Cut, status);
-                    Some((Err(BodyError::from(cause)), None))
-                }
-            }
-        });
-        Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
-    }
-
-    async fn next(&mut self, record: &mut ForwardRecord) -> RelayStep {
-        loop {
-            let mut is_broken = false;
-            let cause = match self.read().await {
-                Ok(Some(bytes)) => {
-                    self.record_first_event(record);
-                    match self.pass_on(bytes) {
-                        Ok(bytes) if bytes.is_empty() => continue,
-                        Ok(bytes) => return RelayStep::Bytes(bytes),
-                        Err(e) => e.to_string(),
-                    }
-                }
-                Ok(None) if self.is_whole() => {
-                    if let Some(call) = self.open_call.take() {
-                        self.generation.record_end(call.attempt.sent_at);
-                        call.attempt.end(CallOutcome::Answered);
-                    }
-                    return RelayStep::End;
-                }
-                Ok(None) => {
-                    is_broken = true;
-                    "stream ended inside an event or without one".to_owned()
-                }
-                Err(ReadFailure::Stalled) => {
-                    if !self.generation.reserve_resume(record).await {
-                        // The engine may be slow but sound, and no other one would do better.
-                        record.note("no event in time; no other engine has room");
-                        self.silence = Duration::ZERO;
-                        continue;
-                    }
-                    "no event in time".to_owned()
-                }
-                Err(ReadFailure::Late) => "no event in time".to_owned(),
-                Err(ReadFailure::Broken(cause)) => {
-                    is_broken = true;
-                    cause
-                }
-            };
-            // The connection closes here, so that no two engines work on the request at once while the next one is asked.
-            if let Some(OpenCall { attempt, .. }) = self.open_call.take() {
-                attempt.report_crash(self.generation.call());
-                if is_broken && !self.has_first_event {
-                    attempt.report_crashing_parts(self.generation.call());
-                }
-                attempt.end(CallOutcome::Failed);
-            }
-            if !self.resume(&cause, record).await {
-                return RelayStep::Cut(cause);
+    /// Ends the open call, which failed; `is_broken` tells whether the engine broke it off.
+    fn end_failed_call(&mut self, is_broken: bool) {
+        if let Some(OpenCall { attempt, .. }) = self.open_call.take() {
+            attempt.report_crash(self.generation.call());
+            if is_broken && !self.has_first_event {
+                attempt.report_crashing_parts(self.generation.call());
             }
+            attempt.end(CallOutcome::Failed);
         }
     }
 
@@ -205,41 +124,36 @@
             return Err(ReadFailure::Broken("no engine has the stream".to_owned()));
         };
         let cx = self.generation.context();
-        let end = self.generation.call().deadline;
         let stall_timeout = cx.settings.stall_timeout;
         loop {
-            let began = cx.clock.now();
-            // A body that always has bytes ready would never let the timeout pass.
-            if began >= end {
-                return Err(ReadFailure::Late);
-            }
-            let deadline = if self.splitter.is_some() {
+            let frame = if self.splitter.is_some() {
+                let began = cx.clock.now();
                 // Bytes that complete no event are no progress.
-                end.min(began + stall_timeout.saturating_sub(self.silence))
-            } else {
-                end
-            };
-            let frame = tokio::time::timeout_at(deadline.into(), call.body.frame()).await;
-            let now = cx.clock.now();
-            self.silence = if now.saturating_duration_since(deadline) > MAX_TIMER_DELAY {
-                // The host was paused, and what the engine sent meanwhile may be unread.
-                stall_timeout.saturating_sub(PAUSE_READ_TIME)
+                let stalls_at = began + stall_timeout.saturating_sub(self.silence);
+                let frame = tokio::time::timeout_at(stalls_at.into(), call.body.frame()).await;
+                let now = cx.clock.now();
+                self.silence = if now.saturating_duration_since(stalls_at) > MAX_TIMER_DELAY {
+                    // The host was paused, and what the engine sent meanwhile may be unread.
+                    stall_timeout.saturating_sub(PAUSE_READ_TIME)
+                } else {
+                    self.silence + now.saturating_duration_since(began)
+                };
+                match frame {
+                    Ok(frame) => frame,
+                    Err(_) if self.silence >= stall_timeout => return Err(ReadFailure::Stalled),
+                    Err(_) => continue,
+                }
             } else {
-                self.silence + now.saturating_duration_since(began)
+                call.body.frame().await
             };
             match frame {
-                Ok(Some(Ok(frame))) => {
+                Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
                         return Ok(Some(bytes));
                     }
                 }
-                Ok(Some(Err(e))) => {
-                    return Err(ReadFailure::Broken(format!("stream broke off: {e}")));
-                }
-                Ok(None) => return Ok(None),
-                Err(_) if deadline == end => return Err(ReadFailure::Late),
-                Err(_) if self.silence >= stall_timeout => return Err(ReadFailure::Stalled),
-                Err(_) => {}
+                Some(Err(e)) => return Err(ReadFailure::Broken(format!("stream broke off: {e}"))),
+                None => return Ok(None),
             }
         }
     }
@@ -286,3 +200,59 @@
         false
     }
 }
+
+#[async_trait]
+impl ResponseSource for EventRelay {
+    async fn next(&mut self, record: &mut ForwardRecord) -> RelayStep {
+        loop {
+            let mut is_broken = false;
+            let cause = match self.read().await {
+                Ok(Some(bytes)) => {
+                    self.record_first_event(record);
+                    match self.pass_on(bytes) {
+                        Ok(bytes) if bytes.is_empty() => continue,
+                        Ok(bytes) => return RelayStep::Bytes(bytes),
+                        Err(e) => e.to_string(),
+                    }
+                }
+                Ok(None) if self.is_whole() => {
+                    if let Some(call) = self.open_call.take() {
+                        self.generation.record_end(call.attempt.sent_at);
+                        call.attempt.end(CallOutcome::Answered);
+                    }
+                    return RelayStep::End;
+                }
+                Ok(None) => {
+                    is_broken = true;
+                    "stream ended inside an event or without one".to_owned()
+                }
+                Err(ReadFailure::Stalled) => {
+                    if !self.generation.reserve_resume(record).await {
+                        // The engine may be slow but sound, and no other one would do better.
+                        record.note("no event in time; no other engine has room");
+                        self.silence = Duration::ZERO;
+                        continue;
+                    }
+                    "no event in time".to_owned()
+                }
+                Err(ReadFailure::Broken(cause)) => {
+                    is_broken = true;
+                    cause
+                }
+            };
+            // The connection closes here, so that no two engines work on the request at once while the next one is asked.
+            self.end_failed_call(is_broken);
+            if !self.resume(&cause, record).await {
+                return RelayStep::Cut(cause);
+            }
+        }
+    }
+
+    fn interrupt(&mut self, interruption: Interruption) {
+        match interruption {
+            Interruption::UpstreamLate => self.end_failed_call(false),
+            // Says nothing of the engine.
+            Interruption::CallerSlow | Interruption::HostStops => self.open_call = None,
+        }
+    }
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -27,6 +27,7 @@
 mod forward_drain;
 mod forward_endless;
 mod forward_fleet;
+mod forward_late_bodies;
 mod forward_list_schedule;
 mod forward_many_choosers;
 mod forward_overlap;
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -180,6 +180,10 @@
     FailResumed,
     /// It answers with status 500.
     Fail,
+    /// It answers with status 500, and hangs in the middle of the body.
+    FailThenHang,
+    /// It answers with a body of `LONG_BODY_BYTES`, and hangs in the middle of it.
+    LongThenHang,
     /// It refuses them because another upstream has its address.
     OtherInstance,
     /// It answers late.
@@ -210,6 +214,12 @@
     CrashOnPart,
 }
 
+/// The stated length of a body that hosts pass on as it arrives.
+pub const LONG_BODY_BYTES: usize = 600_000;
+
+/// The stated length of a body that hosts hold until it is whole.
+const SHORT_BODY_BYTES: usize = 24;
+
 /// The id of the part of a prompt on which `Behaviour::CrashOnPart` crashes.
 pub const CRASHING_PART: &str = "dead";
 
@@ -343,6 +353,18 @@
         self.sign(req, answer_stream(frames))
     }
 
+    /// Returns a response with a stated length, whose body stops in the middle.
+    fn half_then_hang(&self, req: &BufferedRequest, status: u16, length: usize) -> Response<Body> {
+        let half = Ok(Frame::data(Bytes::from("x".repeat(length / 2))));
+        let body = stream::iter([half]).chain(stream::pending());
+        let mut response = self.sign(req, answer_stream(body));
+        *response.status_mut() = status.try_into().expect("status");
+        response
+            .headers_mut()
+            .insert("content-length", length.into());
+        response
+    }
+
     fn stream(&self, req: &BufferedRequest, behaviour: Behaviour) -> Response<Body> {
         let text: &'static str = "x".repeat(4096).leak();
         match behaviour {
@@ -535,8 +557,18 @@
                 &json!({ "kvHandle": handle, "tokens": 10, "version": 1 }),
             ));
         }
+        Some(self.run(req, behaviour))
+    }
+
+    /// Returns the response to a request that the upstream runs.
+    fn run(&self, req: &BufferedRequest, behaviour: Behaviour) -> Response<Body> {
+        match behaviour {
+            Behaviour::FailThenHang => return self.half_then_hang(req, 500, SHORT_BODY_BYTES),
+            Behaviour::LongThenHang => return self.half_then_hang(req, 200, LONG_BODY_BYTES),
+            _ => {}
+        }
         if req.uri().path().starts_with("/text/") || req.uri().path().starts_with("/long/") {
-            return Some(self.stream(req, behaviour));
+            return self.stream(req, behaviour);
         }
         let mut response = self.sign(req, bytes(Bytes::from(format!("done by {}", self.id))));
         match behaviour {
@@ -549,7 +581,7 @@
             }
             Behaviour::EndlessBytes => {
                 let text = "x".repeat(4096).leak();
-                return Some(self.endless(req, text, Duration::ZERO));
+                return self.endless(req, text, Duration::ZERO);
             }
             Behaviour::Fail => *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR,
             Behaviour::Truncate => {
@@ -561,7 +593,7 @@
             }
             _ => {}
         }
-        Some(response)
+        response
     }
 }
 
