Refuse a request whose body has not arrived by its deadline

What callers saw: a request whose body came slowly was held for up to 10 s, the time limit of a body, whatever its route's timeout was.

Cause: the same as for responses: the deadline of a request was computed after its body had been read, so this phase had only a limit of its own.

Change: the deadline is known before the body is read, and ends the reading with a refusal as not run.

Result: slow_upload_is_refused_at_the_timeout fails without the change (no final answer within four times the timeout) and passes with it.

--- a/src/connection/forward/handler.rs
+++ b/src/connection/forward/handler.rs
@@ -13,7 +13,9 @@
 use crate::connection::headers::remove_hop_by_hop_headers;
 use crate::prelude::*;
 use crate::request::forward::call::{Call, CallHead};
-use crate::request::forward::flow::{Admitted, ForwardContext, STOPPING_RETRY_AFTER, admit, run};
+use crate::request::forward::flow::{
+    Admitted, ForwardContext, STOPPING_RETRY_AFTER, admit, late_refusal, run,
+};
 use crate::request::forward::record::ForwardRecord;
 
 /// Handles callers' requests by forwarding them whole to upstreams.
@@ -52,9 +54,16 @@
                 return self.refuse(&head, record, &refusal);
             }
         };
+        let Admitted { route, customer } = admitted;
+        let patience = head.timeout.unwrap_or(self.cx.settings.default_deadline);
+        let patience = route
+            .timeout
+            .map_or(patience, |timeout| timeout.min(patience));
+        let deadline = arrived + patience;
         let body = tokio::select! {
             biased;
             body = self.bodies.read(body) => body,
+            () = tokio::time::sleep_until(deadline.into()) => Err(late_refusal(&self.cx)),
             () = self.cx.state.wait_for_drain_deadline() => {
                 let message = "host stopped before the body had arrived; repeat at once, on a new connection";
                 let refusal = Refusal::not_run(RefusalKind::Unavailable, message);
@@ -66,11 +75,6 @@
             Err(refusal) => return self.refuse(&head, record, &refusal),
         };
         let (body, memory) = body;
-        let Admitted { route, customer } = admitted;
-        let patience = head.timeout.unwrap_or(self.cx.settings.default_deadline);
-        let patience = route
-            .timeout
-            .map_or(patience, |timeout| timeout.min(patience));
         let id = head.id.clone();
         let call = Arc::new(Call {
             head,
@@ -80,7 +84,7 @@
             body,
             route,
             customer,
-            deadline: arrived + patience,
+            deadline,
             arrived,
         });
         let response = run(self.cx.clone(), call, record).await;
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -124,9 +124,7 @@
 ) -> Result<ForwardResponse, Refusal> {
     let now = cx.clock.now();
     if call.deadline <= now {
-        let message = "deadline passed before the request could run; repeat it with more time";
-        return Err(Refusal::not_run(RefusalKind::Overloaded, message)
-            .with_retry_after(cx.settings.retry_after));
+        return Err(late_refusal(cx));
     }
     check_quarantine(cx, call)?;
     let Some(service) = call.route.pick_service(rand::random()) else {
@@ -159,6 +157,12 @@
     response
 }
 
+/// Creates the refusal of a request whose deadline passed before it was sent to an upstream.
+pub fn late_refusal(cx: &ForwardContext) -> Refusal {
+    let message = "deadline passed before the request could run; repeat it with more time";
+    Refusal::not_run(RefusalKind::Overloaded, message).with_retry_after(cx.settings.retry_after)
+}
+
 /// Checks that a request which is predicted to take `time` ends before the host does, if it drains. The caller can reach another host
 /// at once.
 ///
--- a/tests/suite/forward_late_bodies.rs
+++ b/tests/suite/forward_late_bodies.rs
@@ -1,5 +1,6 @@
 //! Responses whose body does not end in time.
 
+use std::convert::Infallible;
 use std::future::pending;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -11,6 +12,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use smallvec::SmallVec;
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 use hibiscusspread::connection::forward::upstream_pool::{PooledTransport, UpstreamPool};
@@ -33,7 +35,9 @@
 
 use crate::forward_fleet::decode_instance;
 
-use crate::platform_stand_in::{Answer, Behaviour, LONG_BODY_BYTES, Platform, configuration};
+use crate::platform_stand_in::{
+    Answer, Behaviour, LONG_BODY_BYTES, Platform, configuration, read_answer, send_on,
+};
 
 /// The routes' timeout in these tests, and the time after it by which a request must have its final answer.
 const TIMEOUT: Duration = Duration::from_secs(1);
@@ -169,6 +173,31 @@
     }
 }
 
+/// Guards against a request whose body comes too slowly and that is held past its route's timeout.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_upload_is_refused_at_the_timeout() {
+    let platform = start(TIMEOUT, Behaviour::Run).await;
+    let socket = TcpStream::connect(platform.address).await.expect("host");
+    let mut req = platform.request("POST", "/book/1");
+    let headers = req.headers_mut();
+    headers.insert("x-deadline-ms", PATIENCE_MS.into());
+    headers.insert("content-length", LONG_BODY_BYTES.into());
+    let first = stream::iter([Ok::<_, Infallible>(Frame::data(Bytes::from_static(
+        b"a part",
+    )))]);
+    let req = req.map(|_| StreamBody::new(Box::pin(first.chain(stream::pending()))));
+    let started = Instant::now();
+    let answer = async {
+        let response = send_on(socket, req).await.expect("host answers");
+        read_answer(response).await
+    };
+    let answer = timeout(TIMEOUT * 4, answer).await.expect("final answer");
+    assert_eq!((answer.status, answer.is_complete), (503, true));
+    assert!(started.elapsed() < FINAL_ANSWER_LIMIT);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(platform.seen_by("s").is_empty());
+}
+
 /// Guards against an open answer that a stop of its host does not end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stop_ends_a_long_answer_that_hangs_midway() {
