Pass on no header of one answer's bytes with a stream that several make up

Cause: the relay of an event stream passed on the head of its first answer whole, with the headers that describe the bytes of that answer. The HTTP library ends a body at its stated length.

Evidence: the cut bodies had exactly the stated length; the second engines had sent all events.

Change: a stream that can be resumed is sent without length, ranges, entity tag and digests. One that can't be resumed keeps them. An answer with a Content-Encoding is neither resumed nor joined to another one, as no events can be found in it.

--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -106,9 +106,7 @@
             .await;
         let failure = match decoded {
             Ok((response, attempt)) if response.status().is_success() => {
-                let (head, body) = response.into_parts();
-                let relay = EventRelay::new(generation, attempt, body);
-                return Ok(ForwardResponse::relayed(head, relay));
+                return Ok(EventRelay::relay(generation, attempt, response));
             }
             Ok((response, attempt)) => {
                 let deadline = call.deadline;
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -4,6 +4,8 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use http::header::{ACCEPT_RANGES, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_RANGE, ETAG};
+use http::{HeaderMap, HeaderName, Response};
 use http_body_util::BodyExt;
 
 use crate::process::forwarding::load::CallOutcome;
@@ -12,6 +14,7 @@
 use crate::request::forward::generation::{DecodeFailure, Generation};
 use crate::request::forward::record::ForwardRecord;
 use crate::request::forward::relay::{Interruption, RelayStep, ResponseSource};
+use crate::request::forward::response::ForwardResponse;
 use crate::request::forward::transport::UpstreamBody;
 use crate::version::forwarding::RepeatPolicy;
 
@@ -50,11 +53,41 @@
     Broken(String),
 }
 
+/// The headers that describe the bytes of one answer. They don't hold for a stream that several answers make up.
+const SINGLE_ANSWER_HEADERS: [HeaderName; 8] = [
+    ACCEPT_RANGES,
+    CONTENT_LENGTH,
+    CONTENT_RANGE,
+    ETAG,
+    HeaderName::from_static("content-digest"),
+    HeaderName::from_static("content-md5"),
+    HeaderName::from_static("digest"),
+    HeaderName::from_static("repr-digest"),
+];
+
+/// Returns whether the body is compressed or otherwise encoded, so that no events can be found in it.
+fn is_encoded(headers: &HeaderMap) -> bool {
+    let encodings = headers.get_all(CONTENT_ENCODING);
+    encodings.iter().any(|encoding| encoding != "identity")
+}
+
 impl EventRelay {
-    /// Creates a relay for `body`, that of the first response of `generation`.
-    pub fn new(generation: Generation, attempt: Attempt, body: UpstreamBody) -> Self {
-        let is_resumable = generation.call().route.repeat == RepeatPolicy::ResumableStream;
-        Self {
+    /// Creates the response to the caller from the first one of `generation`. It keeps the head of that one, whichever engines
+    /// continue it.
+    pub fn relay(
+        generation: Generation,
+        attempt: Attempt,
+        response: Response<UpstreamBody>,
+    ) -> ForwardResponse {
+        let (mut head, body) = response.into_parts();
+        let is_resumable = generation.call().route.repeat == RepeatPolicy::ResumableStream
+            && !is_encoded(&head.headers);
+        if is_resumable {
+            for name in &SINGLE_ANSWER_HEADERS {
+                head.headers.remove(name);
+            }
+        }
+        let relay = Self {
             generation,
             open_call: Some(OpenCall { attempt, body }),
             splitter: is_resumable.then(EventSplitter::default),
@@ -62,7 +95,8 @@
             has_first_event: false,
             has_whole_event: false,
             silence: Duration::ZERO,
-        }
+        };
+        ForwardResponse::relayed(head, relay)
     }
 
     /// Ends the open call, which failed; `is_broken` tells whether the engine broke it off.
@@ -176,6 +210,10 @@
                 .resume_decode(last_event_id.clone(), record)
                 .await
             {
+                Ok((response, attempt)) if is_encoded(response.headers()) => {
+                    record.note("engine answered with an encoded body");
+                    attempt.end(CallOutcome::Failed);
+                }
                 Ok((response, attempt)) if response.status().is_success() => {
                     let body = response.into_body();
                     self.open_call = Some(OpenCall { attempt, body });
--- a/tests/suite/forward_path.rs
+++ b/tests/suite/forward_path.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use crate::platform_stand_in::{
-    Behaviour, EVENT_COUNT, HOST, KEY, Platform, configuration, event, wait_until,
+    Behaviour, EVENT_COUNT, HOST, KEY, Platform, SINGLE_ANSWER_HEADERS, configuration, event,
+    wait_until,
 };
 
 /// Guards against a host that answers 404 or 401 before it has read a configuration.
@@ -339,6 +340,64 @@
     }
 }
 
+/// Guards against a resumed stream that is cut at the length which its first answer stated, and looks complete.
+#[tokio::test]
+async fn resumed_stream_is_not_cut_at_the_length_of_its_first_answer() {
+    let platform = Platform::start().await;
+    let engine = platform.upstream("d-0");
+    engine.set_behaviour(Behaviour::SizedTruncate);
+    for _ in 0..4 {
+        let answer = platform.call("POST", "/long/1").await;
+        assert_eq!((answer.status, answer.is_complete), (200, true));
+        assert_eq!(answer.body, whole_stream());
+    }
+    let seen = platform.seen_by("d");
+    assert!(
+        seen.iter()
+            .any(|seen| seen.header("last-event-id").is_some())
+    );
+}
+
+/// Guards against headers that describe the bytes of one answer on a stream that several may make up, and against the loss of those that
+/// describe the answer which the caller gets.
+#[tokio::test]
+async fn headers_of_the_bytes_stay_with_streams_of_one_answer() {
+    let platform = Platform::start().await;
+    for id in ["d-0", "d-1"] {
+        platform.upstream(id).set_behaviour(Behaviour::Sized);
+    }
+    for (path, expected) in [("/text/1", true), ("/long/1", false)] {
+        let answer = platform.call("POST", path).await;
+        assert!(answer.is_complete && answer.body == whole_stream());
+        assert!(answer.headers.contains_key("x-server-stamp"));
+        for name in SINGLE_ANSWER_HEADERS {
+            let is_there = answer.headers.contains_key(name);
+            assert_eq!(is_there, expected, "{path}: {name}");
+        }
+    }
+}
+
+/// Guards against compressed bytes that join a stream, and against a compressed answer that is searched for events.
+#[tokio::test]
+async fn encoded_answer_never_joins_a_stream() {
+    for (behaviour, is_whole) in [
+        (Behaviour::Encoded, true),
+        (Behaviour::EncodedResumed, false),
+    ] {
+        let platform = Platform::start().await;
+        for id in ["d-0", "d-1"] {
+            platform.upstream(id).set_behaviour(behaviour);
+        }
+        let answer = platform.call("POST", "/long/1").await;
+        assert_eq!((answer.status, answer.is_complete), (200, is_whole));
+        assert_eq!(answer.body == whole_stream(), is_whole, "{answer:?}");
+        let is_encoded = answer.headers.contains_key("content-encoding");
+        assert_eq!(is_encoded, is_whole);
+        let runs = platform.seen_by("d").len();
+        assert_eq!(runs, if is_whole { 1 } else { 2 });
+    }
+}
+
 /// Guards against new work for an upstream that is registered as draining.
 #[tokio::test]
 async fn draining_upstream_gets_no_new_work() {
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -172,6 +172,14 @@
     Unsigned,
     /// Its response breaks off: a stream after three events and part of another.
     Truncate,
+    /// Its stream is whole, with headers that describe its bytes.
+    Sized,
+    /// The same headers, for a stream that is a little shorter than those of other upstreams; breaks off like `Truncate`.
+    SizedTruncate,
+    /// It answers with a stream that is compressed, as its headers say.
+    Encoded,
+    /// Its stream breaks off like that of `Truncate`. It answers a stream that is resumed like `Encoded`.
+    EncodedResumed,
     /// Its stream ends like a whole one, but in the middle of its fourth event.
     EndInEvent,
     /// Its stream ends like a whole one, before the first event.
@@ -393,9 +401,12 @@
             let crash = [Err(std::io::Error::other("crashed"))];
             return self.sign(req, answer_stream(stream::iter(crash)));
         }
-        let broken = behaviour == Behaviour::Truncate;
+        let broken = matches!(behaviour, Behaviour::Truncate | Behaviour::SizedTruncate);
         let end = match behaviour {
-            Behaviour::Truncate | Behaviour::EndInEvent | Behaviour::Stall => first + 3,
+            Behaviour::Truncate
+            | Behaviour::SizedTruncate
+            | Behaviour::EndInEvent
+            | Behaviour::Stall => first + 3,
             Behaviour::EndEmpty => first,
             Behaviour::EndlessThenHang => first + 1,
             _ => EVENT_COUNT,
@@ -453,6 +464,41 @@
     }
 }
 
+/// The headers of `describe_stream` that hold for the bytes of one answer only.
+pub const SINGLE_ANSWER_HEADERS: [&str; 5] = [
+    "content-length",
+    "content-digest",
+    "repr-digest",
+    "etag",
+    "accept-ranges",
+];
+
+/// Adds the headers with which `behaviour` describes the bytes of a stream from its first event.
+fn describe_stream(response: &mut Response<Body>, behaviour: Behaviour) {
+    let length: usize = (0..EVENT_COUNT).map(|no| event(no).len()).sum();
+    let length = match behaviour {
+        Behaviour::Sized => length,
+        Behaviour::SizedTruncate => length - PARTIAL_EVENT.len(),
+        Behaviour::Encoded => {
+            let gzip = "gzip".parse().expect("value");
+            response.headers_mut().insert("content-encoding", gzip);
+            return;
+        }
+        _ => return,
+    };
+    let values = [
+        &*length.to_string(),
+        "sha-256=:AAAA:",
+        "sha-256=:AAAA:",
+        "\"v1\"",
+        "bytes",
+    ];
+    for (name, value) in SINGLE_ANSWER_HEADERS.iter().zip(values) {
+        let value = value.parse().expect("value");
+        response.headers_mut().insert(*name, value);
+    }
+}
+
 /// Returns whether an upstream with `behaviour` runs `req`, or doesn't state that it did not.
 fn may_run(req: &BufferedRequest, behaviour: Behaviour) -> bool {
     let is_own_call = req.method() == http::Method::DELETE || req.uri().path().starts_with("/api/");
@@ -568,7 +614,15 @@
             _ => {}
         }
         if req.uri().path().starts_with("/text/") || req.uri().path().starts_with("/long/") {
-            return self.stream(req, behaviour);
+            let is_resumed = req.headers().contains_key("last-event-id");
+            let behaviour = match behaviour {
+                Behaviour::EncodedResumed if is_resumed => Behaviour::Encoded,
+                Behaviour::EncodedResumed => Behaviour::Truncate,
+                behaviour => behaviour,
+            };
+            let mut response = self.stream(req, behaviour);
+            describe_stream(&mut response, behaviour);
+            return response;
         }
         let mut response = self.sign(req, bytes(Bytes::from(format!("done by {}", self.id))));
         match behaviour {
