Bound every time that comes from outside before it is added to a clock

Cause: the sum of a clock and a stated time panics on overflow. The pool of connections added the time in the task of the caller's connection.

Evidence: standard error had "overflow when adding duration to instant".

Change: process::stated_time has the one rule, that a time from outside counts up to a year; it is applied where times are decoded. Idle connections are kept for a minute at most. A setting above a year is a problem of the settings.

--- a/src/connection/forward/upstream_pool.rs
+++ b/src/connection/forward/upstream_pool.rs
@@ -28,6 +28,10 @@
 /// How long an idle connection is kept if the upstream sends no `Keep-Alive` timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
+/// How long an idle connection is kept at the most, however long the upstream keeps it. After a longer time, what lies between may have
+/// lost track of it.
+const MAX_KEEP_ALIVE: Duration = Duration::from_mins(1);
+
 /// Subtracted from an upstream's `Keep-Alive` timeout, so that no call is sent while the upstream closes the
 /// connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(600);
@@ -206,7 +210,7 @@
         timeout.parse().ok().map(Duration::from_secs)
     });
     let keep = stated.map_or(DEFAULT_KEEP_ALIVE, |stated| {
-        stated.saturating_sub(KEEP_ALIVE_MARGIN)
+        stated.saturating_sub(KEEP_ALIVE_MARGIN).min(MAX_KEEP_ALIVE)
     });
     (!keep.is_zero()).then_some(keep)
 }
--- a/src/process.rs
+++ b/src/process.rs
@@ -29,6 +29,7 @@
 pub mod recovery;
 pub mod settings;
 pub mod shard;
+pub mod stated_time;
 pub mod store;
 pub mod token_bucket;
 pub mod weight_store;
--- a/src/process/message/allowance.rs
+++ b/src/process/message/allowance.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::process::stated_time;
 
 /// Charges a customer's bucket before a request is placed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,10 +27,11 @@
         epoch: Epoch,
     },
     /// The bucket will hold the tokens after this time; repeat the charge then.
-    Later(Duration),
+    Later(#[serde(deserialize_with = "stated_time::deserialize")] Duration),
     /// The customer's rate and burst are used up.
     Refused {
         /// The time after which a repeat may succeed.
+        #[serde(deserialize_with = "stated_time::deserialize")]
         retry_after: Duration,
         /// The tokens in the bucket, for the dump.
         level: Tokens,
@@ -89,6 +91,7 @@
         /// The tokens moved to the borrower's bucket.
         tokens: Tokens,
         /// The time to live without a renewal.
+        #[serde(deserialize_with = "stated_time::deserialize")]
         ttl: Duration,
     },
     /// The lender has nothing to spare.
@@ -128,8 +131,10 @@
     pub level: Tokens,
     /// The time until the floor, the part of the home share that ordinary loans never include, is free of an earlier
     /// owner's loans.
+    #[serde(deserialize_with = "stated_time::deserialize")]
     pub floor_wait: Duration,
     /// The time until the whole home share is free of an earlier owner's loans.
+    #[serde(deserialize_with = "stated_time::deserialize")]
     pub whole_wait: Duration,
     /// The loans given to other data centres.
     pub given: Vec<LoanState>,
@@ -154,6 +159,7 @@
     /// The part of these tokens that the bucket would hold without the charge; the rest would have overflowed.
     pub room: Tokens,
     /// The time since the charge.
+    #[serde(deserialize_with = "stated_time::deserialize")]
     pub age: Duration,
 }
 
@@ -171,5 +177,6 @@
     /// The part of the burst that is lent.
     pub burst: Share,
     /// The time until the loan ends and the lender may use its rate and burst again.
+    #[serde(deserialize_with = "stated_time::deserialize")]
     pub left: Duration,
 }
--- a/src/process/message/placement.rs
+++ b/src/process/message/placement.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::prelude::*;
+use crate::process::stated_time;
 
 /// The upstreams of one model or service in one data centre.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -56,12 +57,15 @@
     /// The class of the request, which decides its order in the queue.
     pub priority: Priority,
     /// The time left until the first token is due.
+    #[serde(deserialize_with = "stated_time::deserialize")]
     pub deadline: Duration,
     /// What happens when the deadline can't be met.
     pub late: LatePolicy,
     /// The longest time to stay queued.
+    #[serde(deserialize_with = "stated_time::deserialize")]
     pub max_wait: Duration,
     /// The longest time for which the attempt may hold its upstreams.
+    #[serde(deserialize_with = "stated_time::deserialize")]
     pub hold_limit: Duration,
     /// The upstreams that failed an earlier attempt of this request.
     pub avoid: SmallVec<[UpstreamId; 2]>,
@@ -93,6 +97,7 @@
     /// The pool can't serve the attempt in time.
     Busy {
         /// The expected time in the queue.
+        #[serde(deserialize_with = "stated_time::deserialize")]
         expected_wait: Duration,
     },
     /// The pool has no upstream that takes new work.
@@ -162,6 +167,7 @@
     /// The maximum of tokens to generate; 0 for a plain service.
     pub max_tokens: Tokens,
     /// The longest time for which it may hold its upstreams.
+    #[serde(deserialize_with = "stated_time::deserialize")]
     pub hold_limit: Duration,
     /// The upstreams that are held for it.
     pub placement: Placement,
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -10,6 +10,7 @@
 use crate::prelude::*;
 use crate::process::placement::joint::{SearchLimits, cheapest_pair};
 use crate::process::pool::settings::PlacementSettings;
+use crate::process::stated_time::time_at_rate;
 
 /// A predicted transfer over a decode engine's link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -139,11 +140,6 @@
     }
 }
 
-/// Returns the time that `tokens` take at `rate` tokens per second; a rate of 0 counts as 1.
-pub fn time_at_rate(tokens: Tokens, rate: Tokens) -> Duration {
-    Duration::from_secs_f64(tokens as f64 / rate.max(1) as f64)
-}
-
 /// Returns how long a transfer of this length that is ready at `ready` waits for transfers that overlap with it.
 fn link_wait(transfers: &[Transfer], ready: Instant, length: Duration) -> Duration {
     transfers
--- a/src/process/placement/joint.rs
+++ b/src/process/placement/joint.rs
@@ -7,8 +7,9 @@
 
 use std::time::{Duration, Instant};
 
-use crate::process::placement::{Choice, PlacementInput, Transfer, link_wait, time_at_rate};
+use crate::process::placement::{Choice, PlacementInput, Transfer, link_wait};
 use crate::process::pool::settings::PlacementSettings;
+use crate::process::stated_time::time_at_rate;
 
 /// Restricts the pairs that are considered.
 #[derive(Debug, Clone, Copy)]
--- a/src/process/pool/choose.rs
+++ b/src/process/pool/choose.rs
@@ -7,13 +7,14 @@
 use crate::prelude::*;
 use crate::process::message::{PlaceReply, PlaceRequest, Placement, RunningAttempt};
 use crate::process::placement::{
-    Choice, PlacementInput, Prediction, PrefillCandidate, TargetCandidate, Transfer, time_at_rate,
+    Choice, PlacementInput, Prediction, PrefillCandidate, TargetCandidate, Transfer,
 };
 use crate::process::pool::dump::{PairView, PlacementRecord};
 use crate::process::pool::queue::{Head, request_cost};
 use crate::process::pool::reservation::upstream_ids;
 use crate::process::pool::upstream::UpstreamState;
 use crate::process::pool::{AttemptKey, Pool, PoolAction, attempt_key};
+use crate::process::stated_time::{self, MAX_STATED_TIME, time_at_rate};
 use crate::version::compiled::Role;
 
 /// The most requests of a customer that are examined when its first one is blocked by the upstreams it avoids. A failed
@@ -243,9 +244,8 @@
         } else {
             tokens * prompt_share / rate as f64
         };
-        unavailable_for
-            + Duration::try_from_secs_f64(secs_by_slots.max(secs_by_prefill))
-                .unwrap_or(Duration::MAX / 2)
+        let wait = stated_time::from_secs(secs_by_slots.max(secs_by_prefill));
+        unavailable_for + wait.unwrap_or(MAX_STATED_TIME)
     }
 
     /// Returns the time until some target takes work; zero if one does now, `None` if all are leaving.
--- a/src/process/pool/load.rs
+++ b/src/process/pool/load.rs
@@ -4,6 +4,7 @@
 
 use crate::prelude::*;
 use crate::process::pool::AttemptKey;
+use crate::process::stated_time::{self, MAX_STATED_TIME};
 use crate::request::engine::EngineLoad;
 
 /// An attempt that was sent to the upstream.
@@ -97,6 +98,7 @@
             backlog_at = Some(sent.sent_at);
         }
         let elapsed = backlog_at.map_or(Duration::ZERO, |t| now.saturating_duration_since(t));
-        Duration::from_secs_f64((backlog / rate - elapsed.as_secs_f64()).max(0.0))
+        let wait = (backlog / rate - elapsed.as_secs_f64()).max(0.0);
+        stated_time::from_secs(wait).unwrap_or(MAX_STATED_TIME)
     }
 }
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -12,6 +12,7 @@
 use crate::process::message::{CancelPlace, PlaceReply, PlaceRequest, Placement, PoolId};
 use crate::process::message::{Release, ReleaseOutcome};
 use crate::process::placer::Placer;
+use crate::process::stated_time;
 use crate::request::engine::{DecodeJob, PrefillJob};
 use crate::request::prefix::estimate_tokens;
 use crate::version::compiled::{CompiledConfig, Upstream};
@@ -348,11 +349,10 @@
         Priority::Interactive => INTERACTIVE_PREFILL_BASE_LIMIT,
         Priority::Batch => BATCH_PREFILL_BASE_LIMIT,
     };
-    let seconds = prompt_tokens as f64 / rate.max(1) as f64;
-    base + Duration::from_secs_f64(seconds * PREFILL_LIMIT_FACTOR)
+    base + stated_time::time_at_rate(prompt_tokens, rate).mul_f64(PREFILL_LIMIT_FACTOR)
 }
 
 /// Returns the time limit of the transfer of a KV cache of `prompt_tokens`.
 fn transfer_limit(prompt_tokens: Tokens) -> Duration {
-    TRANSFER_BASE_LIMIT + Duration::from_secs_f64(prompt_tokens as f64 / MIN_TRANSFER_RATE as f64)
+    TRANSFER_BASE_LIMIT + stated_time::time_at_rate(prompt_tokens, MIN_TRANSFER_RATE)
 }
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::process::stated_time;
+
 /// Whether a failed request may have run at an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -129,7 +131,7 @@
     /// Sets the time after which a repeat may succeed, sent as `Retry-After`.
     #[must_use]
     pub fn with_retry_after(mut self, wait: Duration) -> Self {
-        self.retry_after = Some(wait);
+        self.retry_after = Some(stated_time::bounded(wait));
         self
     }
 
--- a/src/version/fields.rs
+++ b/src/version/fields.rs
@@ -6,6 +6,8 @@
 
 use ini::{Ini, Properties};
 
+use crate::process::stated_time::MAX_STATED_TIME;
+
 /// A problem in a settings file or a configuration document.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Problem {
@@ -145,13 +147,13 @@
         let Some(text) = self.text(key) else {
             return default;
         };
-        humantime::parse_duration(text).unwrap_or_else(|e| {
-            self.problem(
-                key,
-                format!("{text:?}: {e}; write for example 250ms, 2s or 90m"),
-            );
-            default
-        })
+        let problem = match humantime::parse_duration(text) {
+            Ok(duration) if duration <= MAX_STATED_TIME => return duration,
+            Ok(_) => "longer than a year; give a shorter time".to_owned(),
+            Err(e) => format!("{e}; write for example 250ms, 2s or 90m"),
+        };
+        self.problem(key, format!("{text:?}: {problem}"));
+        default
     }
 
     /// Reads `yes` or `no`.
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -85,6 +85,7 @@
 mod soak_callers;
 mod soak_hosts;
 mod soak_proxy;
+mod stated_times;
 mod store_client;
 mod store_emulator;
 mod support;
--- a/tests/suite/simulation.rs
+++ b/tests/suite/simulation.rs
@@ -9,9 +9,10 @@
 use hibiscusspread::process::message::{
     LatePolicy, PlaceReply, PlaceRequest, Placement, Release, ReleaseOutcome,
 };
-use hibiscusspread::process::placement::{Policy, time_at_rate};
+use hibiscusspread::process::placement::Policy;
 use hibiscusspread::process::pool::settings::PlacementSettings;
 use hibiscusspread::process::pool::{Pool, PoolAction};
+use hibiscusspread::process::stated_time::time_at_rate;
 use hibiscusspread::request::engine::{CacheEvent, CacheEvents, EngineLoad};
 use hibiscusspread::request::prefix::PIECE_TOKENS;
 use hibiscusspread::version::compiled::{Role, Upstream};
