Answer a request whose task panics, and hold the panic against its upstream

Cause: nothing caught the panic in the task of a caller's connection. The attempt was dropped there, which says nothing of the upstream's health, and the log said that the caller had left.

Evidence: outcome=left in the log for each of these requests.

Change: a panic is logged and counted (hibiscusspread_panics_total), the request gets 502 if its answer had not begun, its outcome is "panicked", and its attempt counts as failed.

Not changed: a task of the host itself that panics is not started again.

--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -17,6 +17,7 @@
 use crate::process::forwarding::settings::ForwardingSettings;
 use crate::process::node::Node;
 use crate::process::node::external::ExternalServices;
+use crate::process::panics::report_panics;
 use crate::process::settings::Settings;
 use crate::version::cell::VersionCell;
 use crate::version::document::{compile, split_by_team};
@@ -32,6 +33,7 @@
         Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(failed("signals can't be handled"))?;
     let settings = load_settings(path)?;
     let _logger = logging::start_host(&settings.log_level)?;
+    report_panics();
     if let Some(forwarding) = settings.forwarding.clone() {
         return runtime()?.block_on(forward(path, settings, forwarding, signals));
     }
--- a/src/connection/caller_listener.rs
+++ b/src/connection/caller_listener.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,8 +17,10 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::JoinSet;
 
+use crate::connection::caller::refusal_response;
 use crate::connection::caller_io::CallerIo;
 use crate::connection::caller_io::response_framing::QueuedResponses;
+use crate::prelude::*;
 use crate::request::forward::transport::UpstreamBody;
 
 /// The body of a response to a caller. An error closes the connection, so that a truncated response never looks
@@ -40,7 +43,7 @@
 /// Responds to the requests that a listener accepts.
 #[async_trait]
 pub trait CallerHandler: Send + Sync {
-    /// Handles one request. Dropping the future or the response body cancels the request.
+    /// Handles one request. Dropping the future or the response body cancels the request. A panic ends it with status 502.
     async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody>;
 }
 
@@ -171,7 +174,12 @@
             let (handler, queue) = (this.handler.clone(), queue.clone());
             async move {
                 let method = req.method().clone();
-                let response = handler.respond(req).await;
+                let responding = AssertUnwindSafe(handler.respond(req)).catch_unwind();
+                let response = responding.await.unwrap_or_else(|_| {
+                    let message = "internal error; repeat it only if it may run twice";
+                    let kind = RefusalKind::UpstreamFailed;
+                    refusal_response(&Refusal::may_have_run(kind, message))
+                });
                 queue.push(method);
                 Ok::<_, Infallible>(response)
             }
--- a/src/process.rs
+++ b/src/process.rs
@@ -20,6 +20,7 @@
 pub mod node;
 pub mod orders;
 pub mod ownership;
+pub mod panics;
 pub mod peer;
 pub mod placement;
 pub mod placer;
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -41,6 +41,8 @@
 pub const COLD_CALLS: &str = "hibiscusspread_cold_calls_total";
 /// Other hosts' reports of cold upstreams that were ignored, because there were too many for one upstream.
 pub const COLD_REPORTS_IGNORED: &str = "hibiscusspread_cold_reports_ignored_total";
+/// Panics, each of which ended a task without its result.
+pub const PANICS: &str = "hibiscusspread_panics_total";
 /// Log lines dropped because standard output was read too slowly.
 pub const LOG_LINES_DROPPED: &str = "hibiscusspread_log_lines_dropped_total";
 /// Violations of invariants that the program checks at run time, by `invariant`; must stay 0.
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -157,7 +157,8 @@
     }
 }
 
-/// A call to one upstream. It counts towards the upstream's load until it ends. Dropping it doesn't affect the upstream's health.
+/// A call to one upstream. It counts towards the upstream's load until it ends. Dropping it doesn't affect the upstream's health, except in a
+/// panic.
 pub struct Attempt {
     cx: Arc<ForwardContext>,
     /// The upstream that gets the call.
@@ -416,7 +417,12 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.finish(CallOutcome::Abandoned);
+        // What the upstream sent may be the cause of a panic, and would be again.
+        self.finish(if std::thread::panicking() {
+            CallOutcome::Failed
+        } else {
+            CallOutcome::Abandoned
+        });
     }
 }
 
--- a/src/request/forward/record.rs
+++ b/src/request/forward/record.rs
@@ -19,6 +19,8 @@
     Cut,
     /// The caller disconnected.
     Left,
+    /// Its task panicked.
+    Panicked,
 }
 
 impl Outcome {
@@ -29,11 +31,12 @@
             Self::Refused => "refused",
             Self::Cut => "cut",
             Self::Left => "left",
+            Self::Panicked => "panicked",
         }
     }
 }
 
-/// The record of one forwarded request. Dropping it unfinished records that the caller disconnected.
+/// The record of one forwarded request. Dropping it unfinished records that the caller disconnected, or that its task panicked.
 pub struct ForwardRecord {
     clock: Arc<dyn Clock>,
     id: Arc<str>,
@@ -143,8 +146,14 @@
 
 impl Drop for ForwardRecord {
     fn drop(&mut self) {
-        if !self.finished {
-            self.write(Outcome::Left, 0);
+        if self.finished {
+            return;
         }
+        let outcome = if std::thread::panicking() {
+            Outcome::Panicked
+        } else {
+            Outcome::Left
+        };
+        self.write(outcome, 0);
     }
 }
--- a/tests/suite/forward_late_bodies.rs
+++ b/tests/suite/forward_late_bodies.rs
@@ -119,7 +119,7 @@
 }
 
 /// Creates the context of a host that knows no upstream.
-fn context() -> Arc<ForwardContext> {
+pub fn context() -> Arc<ForwardContext> {
     let forwarding = ForwardingSettings::default();
     let outside = platform::connect(any_loopback());
     Arc::new(ForwardContext {
@@ -235,7 +235,8 @@
     }
 }
 
-fn record() -> ForwardRecord {
+/// Starts the record of a request.
+pub fn record() -> ForwardRecord {
     let head = CallHead {
         id: "r-1".into(),
         host: "desk.example".to_owned(),
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -61,6 +61,7 @@
 mod operator_port;
 mod orders;
 mod ownership;
+mod panics;
 mod path;
 mod peer_link;
 mod placement;
