--- a/tests/suite/stated_times.rs
+++ b/tests/suite/huge_values.rs
@@ -1,4 +1,4 @@
-//! Times from outside the process that are far above any that makes sense. The sum of such a time and a clock panics.
+//! Times and numbers from outside the process that are far above any that makes sense. The sum of such a time and a clock panics.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -110,6 +110,33 @@
     }
 }
 
+/// Guards against a request with huge token counts that ends without an answer, or overflows the work of the engines so that others do.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_with_huge_token_counts_leave_others_alone() {
+    let platform = Platform::start_unconfigured().await;
+    let mut document = configuration_with_reservations(1);
+    document["tenants"][0]["ratePerS"] = 0.into();
+    platform.configure(&document).await;
+    platform.wait_ready().await;
+    let huge = format!("{0},{0}", u64::MAX);
+    let huge = &*huge;
+    for path in ["/text/1", "/long/1", "/book/1"] {
+        let send = |counts: &str| {
+            let mut req = platform.request("POST", path);
+            let counts = counts.parse().expect("value");
+            req.headers_mut().insert("x-token-counts", counts);
+            platform.send(req)
+        };
+        let answers = tokio::join!(send(huge), send("1000,100"), send(huge), send("1000,100"));
+        for answer in [answers.0, answers.2] {
+            assert!(matches!(answer.status, 200 | 503), "{path}: {answer:?}");
+        }
+        for answer in [answers.1, answers.3] {
+            assert_eq!(answer.status, 200, "{path}: {answer:?}");
+        }
+    }
+}
+
 /// Guards against a refusal whose predicted wait is too long to be encoded, with the jitter that hosts add.
 #[test]
 fn refusal_after_a_huge_wait_can_be_encoded() {
