Ignore a stated number of seconds that is out of the range of times

Cause: the bound on stated times turned a number of seconds that no time can hold into the longest time. Before, such a value was no time: a configuration with it is invalid, a header or registration with it is ignored.

--- a/src/process/stated_time.rs
+++ b/src/process/stated_time.rs
@@ -16,13 +16,10 @@
     stated.min(MAX_STATED_TIME)
 }
 
-/// Returns the time that counts of a stated number of seconds; `None` if that is no time.
+/// Returns the time that counts of a stated number of seconds; `None` if that is negative, no number or out of the range of times.
 pub fn from_secs(seconds: f64) -> Option<Duration> {
-    if seconds.is_nan() || seconds < 0.0 {
-        return None;
-    }
     let stated = Duration::try_from_secs_f64(seconds);
-    Some(stated.map_or(MAX_STATED_TIME, bounded))
+    stated.ok().map(bounded)
 }
 
 /// Reads a time of a message as it counts, for `#[serde(deserialize_with)]`.
