Promise the tokens of a customer once over all hosts

Cause: a request whose tokens come soon waits for them. Each host counted only its own waiting requests, so all 62 promised the same tokens, and granted them at the end of the wait whatever the bucket held by then.

Change: reports carry the tokens of waiting requests (section 8; hosts without it skip it), and a host promises what follows those of all hosts. Near the limit a large request is granted by chance, by the rule of fleets with relays, as several hosts see the same tokens until they hear of each other. The log line of a refusal says which rule refused it, the level and what is promised.

Result: limit_holds_while_requests_wait_at_many_hosts failed before (9 hosts: 1,791,058 of 1,328,500 tokens) and passes.

--- a/src/connection/forward/reports.rs
+++ b/src/connection/forward/reports.rs
@@ -18,6 +18,7 @@
 use crate::process::forwarding::report_exchange::ReportLink;
 use crate::process::forwarding::report_sections::ReportSection;
 use crate::process::forwarding::stage_load::StageSums;
+use crate::process::forwarding::usage::QueuedTokens;
 use crate::process::metrics;
 
 /// The largest report, in bytes; a UDP datagram carries somewhat more.
@@ -35,6 +36,7 @@
 const COLD_ENGINES: u8 = 3;
 const STAGE_LOAD: u8 = 6;
 const STAGE_CHANGES: u8 = 7;
+const QUEUED_TOKENS: u8 = 8;
 
 /// Encodes a report and its sections. Sections that would make it too large are left out, those with the highest numbers first.
 ///
@@ -101,6 +103,7 @@
         ReportSection::ColdEngines(reports) => Ok((COLD_ENGINES, codec::encode(reports)?)),
         ReportSection::StageLoad(sums) => Ok((STAGE_LOAD, codec::encode(sums)?)),
         ReportSection::StageChanges(changes) => Ok((STAGE_CHANGES, codec::encode(changes)?)),
+        ReportSection::QueuedTokens(queued) => Ok((QUEUED_TOKENS, codec::encode(queued)?)),
     }
 }
 
@@ -116,6 +119,8 @@
             .map(ReportSection::StageLoad),
         STAGE_CHANGES => codec::decode_exactly::<Vec<OrderedStage>, MAX_SECTION_BYTES>(body)
             .map(ReportSection::StageChanges),
+        QUEUED_TOKENS => codec::decode_exactly::<Vec<QueuedTokens>, MAX_SECTION_BYTES>(body)
+            .map(ReportSection::QueuedTokens),
         _ => return None,
     };
     Some(section)
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -577,6 +577,12 @@
     /// Returns what parts add to a report that sums up the hosts within `reach`.
     pub fn report_sections(&self, reach: Reach, now: Instant) -> Vec<ReportSection> {
         let mut sections = Vec::new();
+        if reach == Reach::Host {
+            let queued = self.usage.queued_tokens(now);
+            if !queued.is_empty() {
+                sections.push(ReportSection::QueuedTokens(queued));
+            }
+        }
         sections.extend(self.evacuation_news().map(ReportSection::Evacuations));
         let cold = self.cold.reports(reach, now);
         if !cold.is_empty() {
@@ -611,6 +617,11 @@
                     self.mark_changing(ordered, found, now);
                 }
             }
+            ReportSection::QueuedTokens(queued) => {
+                if let Some(Source::Host(host)) = source {
+                    self.usage.apply_queued(host, queued, now);
+                }
+            }
             ReportSection::StageLoad(sums) => {
                 if let Some(source) = source {
                     self.stage_load.apply_report(source, sums, now);
--- a/src/process/forwarding/report_exchange.rs
+++ b/src/process/forwarding/report_exchange.rs
@@ -120,6 +120,16 @@
         self.settings.delay_per_host.saturating_mul(others)
     }
 
+    /// Returns the longest time after which all of `hosts` hosts have heard of a grant, apart from lost reports.
+    fn longest_report_delay(&self, role: Role, hosts: usize) -> Duration {
+        if role == Role::Direct {
+            // A grant that comes after a report was put together waits for the next one.
+            self.direct_delay(hosts).saturating_mul(2)
+        } else {
+            self.settings.longest_relay_delay()
+        }
+    }
+
     async fn send(&self, number: &mut u64, leaving: bool) {
         let now = self.clock.now();
         let plan = self.plan(now);
@@ -166,7 +176,8 @@
         self.state.update_cold_fleet(&self.own);
         self.state.usage.set_knowledge(FleetKnowledge {
             hosts,
-            relay_delay: (plan.role != Role::Direct).then_some(report_delay),
+            has_relays: plan.role != Role::Direct,
+            report_delay: self.longest_report_delay(plan.role, hosts),
             heard_part: 1.0 - silent_hosts as f64 / hosts as f64,
             is_informed,
         });
--- a/src/process/forwarding/report_sections.rs
+++ b/src/process/forwarding/report_sections.rs
@@ -8,6 +8,7 @@
 use crate::process::forwarding::directory::OrderedStage;
 use crate::process::forwarding::evacuation::EvacuationNews;
 use crate::process::forwarding::stage_load::StageSums;
+use crate::process::forwarding::usage::QueuedTokens;
 
 /// The state of one part, as a report carries it. The sender leaves a section out that says nothing.
 #[derive(Debug, Clone, PartialEq)]
@@ -20,6 +21,8 @@
     ColdEngines(Vec<ColdReport>),
     /// The engine time that the prompts and generations of each service take, as measured.
     StageLoad(Vec<(ModelId, StageSums)>),
+    /// The tokens of requests that wait at the sender for their customer's rate.
+    QueuedTokens(Vec<QueuedTokens>),
     /// The engines that were ordered to change their stage and have not done so.
     StageChanges(Vec<OrderedStage>),
 }
--- a/src/process/forwarding/usage.rs
+++ b/src/process/forwarding/usage.rs
@@ -4,9 +4,13 @@
 //! silent source of reports is assumed to grant its hosts' even share of the rate until it reports again. So after a network
 //! partition both groups of hosts together grant no more than the rate, and at most one burst each.
 //!
-//! In a large fleet reports take up to a second, and all hosts see the same tokens at once. There a request is granted for certain
-//! only if the bucket also holds what the whole fleet may be asked for meanwhile; otherwise it is granted with the probability with
-//! which the expected grants of all hosts together match the rate.
+//! All hosts see the same tokens at once until they hear of each other's grants. So a large request is granted for certain only if the
+//! bucket also holds what the whole fleet may be asked for meanwhile; otherwise it is granted with the probability with which the
+//! expected grants of all hosts together match the rate. Through relays, where reports take up to a second, this holds for small
+//! requests too.
+//!
+//! Where hosts report to each other directly, a request may wait for its tokens. Reports carry the tokens of waiting requests, so
+//! that no two hosts promise the same ones.
 
 mod bucket;
 
@@ -77,8 +81,10 @@
 pub struct FleetKnowledge {
     /// The number of all hosts, this one included.
     pub hosts: usize,
-    /// The time that reports take through relays; `None` if hosts report to each other directly, within milliseconds.
-    pub relay_delay: Option<Duration>,
+    /// Whether reports go through relays. They don't carry the tokens of waiting requests, so none may wait.
+    pub has_relays: bool,
+    /// The longest time after which all hosts have heard of a grant, apart from lost reports.
+    pub report_delay: Duration,
     /// The part of all hosts whose grants are reported to this one, its own included. With relays, hosts that don't hear each other
     /// share the tokens of a bucket as they stood when they last did.
     pub heard_part: f64,
@@ -90,7 +96,8 @@
     fn default() -> Self {
         Self {
             hosts: 1,
-            relay_delay: None,
+            has_relays: false,
+            report_delay: Duration::ZERO,
             heard_part: 1.0,
             is_informed: true,
         }
@@ -106,6 +113,56 @@
     Queued(Duration),
 }
 
+/// Why a request was not charged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// Its tokens are available only after a longer wait than it has time for.
+    LongWait,
+    /// There may be tokens for it, but too many hosts are asked for them before they hear of each other.
+    Chance,
+    /// This host has not heard of the grants of others yet.
+    Unheard,
+}
+
+impl RefusalCause {
+    /// Returns the name used in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::LongWait => "wait",
+            Self::Chance => "chance",
+            Self::Unheard => "unheard",
+        }
+    }
+}
+
+/// Tells that a request was not charged.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitRefusal {
+    /// The time after which a repeat may be granted.
+    pub retry_after: Duration,
+    /// The cause.
+    pub cause: RefusalCause,
+    /// The tokens available; negative while the bucket is overdrawn.
+    pub level: f64,
+    /// The tokens that are promised to waiting requests, here and elsewhere.
+    pub promised: f64,
+}
+
+/// What a request needs of its customer's bucket, in tokens.
+struct Need {
+    /// Whether the request counts as small.
+    is_small: bool,
+    /// By how much it may overdraw the bucket.
+    overdraft: f64,
+    /// What is promised to waiting requests, here and elsewhere.
+    promised: f64,
+    /// The level of the bucket from which it is granted at once.
+    level: f64,
+}
+
+/// The tokens of a customer's queued requests at one host, in its reports.
+pub type QueuedTokens = (CustomerId, Tokens);
+
 /// The token buckets of all customers, in shards under a lock each.
 #[derive(Debug, Default)]
 pub struct UsageTracker {
@@ -164,7 +221,7 @@
     /// `charge_queued` or `cancel_queued`. `draw` is uniformly distributed from 0 to 1.
     ///
     /// # Errors
-    /// Returns the time after which a repeat may be granted; nothing is charged then.
+    /// Returns why the request is refused; nothing is charged then.
     pub fn charge(
         &self,
         customer: &ForwardCustomer,
@@ -172,7 +229,7 @@
         max_wait: Duration,
         draw: f64,
         now: Instant,
-    ) -> Result<ChargeOutcome, Duration> {
+    ) -> Result<ChargeOutcome, LimitRefusal> {
         if customer.rate == 0 {
             return Ok(ChargeOutcome::Granted);
         }
@@ -185,58 +242,124 @@
         bucket.burst = customer.burst as f64;
         bucket.refill(now);
         bucket.request(tokens, now);
-        let small_request_limit = bucket.burst * self.settings.small_request_fraction;
-        let wanted = tokens as f64;
-        let overdraft = if wanted <= small_request_limit {
-            bucket.burst * self.settings.small_request_overdraft
+        let need = self.need(bucket, tokens, now);
+        let delay = knowledge.report_delay;
+        let part = if knowledge.has_relays {
+            knowledge.heard_part
         } else {
-            0.0
+            1.0
         };
-        let required_level = if wanted <= small_request_limit {
-            wanted - overdraft
-        } else {
-            // A request larger than the burst is granted by a full bucket; otherwise it could never run.
-            (wanted + bucket.queued + small_request_limit).min(bucket.burst + bucket.queued)
-        };
-        let wait = ((required_level - bucket.level) / bucket.rate).max(0.0);
+        let (level, rate) = (bucket.level * part, bucket.rate * part);
+        let wait = ((need.level - level) / rate).max(0.0);
         let wait = Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX);
-        if knowledge.relay_delay.is_some() {
-            if draw < grant_probability(bucket, wanted, overdraft, knowledge, now) {
+        let refusal = LimitRefusal {
+            retry_after: wait,
+            cause: RefusalCause::LongWait,
+            level: bucket.level,
+            promised: need.promised,
+        };
+        let by_chance = LimitRefusal {
+            retry_after: wait.max(MIN_CHANCE_RETRY_AFTER),
+            cause: RefusalCause::Chance,
+            ..refusal
+        };
+        if knowledge.has_relays {
+            let available = (bucket.level + need.overdraft) * part;
+            if draw < grant_probability(bucket, tokens as f64, available, part, delay, now) {
                 bucket.grant(tokens, now);
                 return Ok(ChargeOutcome::Granted);
             }
             return Err(if knowledge.is_informed {
-                wait.max(MIN_CHANCE_RETRY_AFTER)
+                by_chance
             } else {
-                UNHEARD_RETRY_AFTER
+                LimitRefusal {
+                    retry_after: UNHEARD_RETRY_AFTER,
+                    cause: RefusalCause::Unheard,
+                    ..refusal
+                }
             });
         }
+        if wait > max_wait {
+            return Err(refusal);
+        }
+        // Small requests are granted by the level alone, so that a customer's large ones don't starve them.
+        if !need.is_small {
+            let available = tokens as f64 + level + rate * max_wait.as_secs_f64() - need.level;
+            if draw >= grant_probability(bucket, tokens as f64, available, part, delay, now) {
+                return Err(by_chance);
+            }
+        }
         if wait.is_zero() {
             bucket.grant(tokens, now);
             return Ok(ChargeOutcome::Granted);
         }
-        if wait > max_wait {
-            return Err(wait);
-        }
-        bucket.queued += wanted;
+        bucket.queue(tokens as f64, now);
         Ok(ChargeOutcome::Queued(wait))
     }
 
+    /// Returns what a request of `tokens` needs of its customer's bucket.
+    fn need(&self, bucket: &Bucket, tokens: Tokens, now: Instant) -> Need {
+        let wanted = tokens as f64;
+        let small_request_limit = bucket.burst * self.settings.small_request_fraction;
+        let is_small = wanted <= small_request_limit;
+        let promised = bucket.promised(now);
+        let overdraft = if is_small {
+            bucket.burst * self.settings.small_request_overdraft
+        } else {
+            0.0
+        };
+        let level = if is_small {
+            wanted - overdraft
+        } else {
+            // A request larger than the burst is granted by a full bucket; otherwise it could never run.
+            (wanted + promised + small_request_limit).min(bucket.burst + promised)
+        };
+        Need {
+            is_small,
+            overdraft,
+            promised,
+            level,
+        }
+    }
+
     /// Charges a queued request that has waited for its tokens.
     pub fn charge_queued(&self, customer: &CustomerId, tokens: Tokens, now: Instant) {
         let mut buckets = self.buckets.lock(customer);
         if let Some(bucket) = buckets.get_mut(customer) {
-            bucket.queued = (bucket.queued - tokens as f64).max(0.0);
+            bucket.queue(-(tokens as f64), now);
             bucket.refill(now);
             bucket.grant(tokens, now);
         }
     }
 
     /// Removes a queued request that no longer waits, without charging it.
-    pub fn cancel_queued(&self, customer: &CustomerId, tokens: Tokens) {
+    pub fn cancel_queued(&self, customer: &CustomerId, tokens: Tokens, now: Instant) {
         let mut buckets = self.buckets.lock(customer);
         if let Some(bucket) = buckets.get_mut(customer) {
-            bucket.queued = (bucket.queued - tokens as f64).max(0.0);
+            bucket.queue(-(tokens as f64), now);
+        }
+    }
+
+    /// Returns the tokens of this host's queued requests per customer, for customers for whom there are any or were any recently, to
+    /// report them.
+    pub fn queued_tokens(&self, now: Instant) -> Vec<QueuedTokens> {
+        let mut queued = Vec::new();
+        for buckets in self.buckets.iter() {
+            for (customer, bucket) in buckets.iter() {
+                let tokens = bucket.queued_tokens(now);
+                queued.extend(tokens.map(|tokens| (customer.clone(), tokens)));
+            }
+        }
+        queued
+    }
+
+    /// Replaces the tokens of the queued requests of another host, for the customers that its report names.
+    pub fn apply_queued(&self, host: &HostId, queued: &[QueuedTokens], now: Instant) {
+        for (customer, tokens) in queued {
+            let mut buckets = self.buckets.lock(customer);
+            if let Some(bucket) = buckets.get_mut(customer) {
+                bucket.apply_queued(host, *tokens, now);
+            }
         }
     }
 
@@ -318,20 +441,18 @@
     }
 }
 
-/// Returns the probability with which a host of a large fleet grants a request of `wanted` tokens, which may overdraw the bucket by
-/// `overdraft`.
+/// Returns the probability with which a host grants a request of `wanted` tokens. `available` is what the hosts that it hears, which
+/// are `part` of all, may grant at once; `delay` is the time after which they have heard of a grant.
 fn grant_probability(
     bucket: &Bucket,
     wanted: f64,
-    overdraft: f64,
-    knowledge: FleetKnowledge,
+    available: f64,
+    part: f64,
+    delay: Duration,
     now: Instant,
 ) -> f64 {
-    let part = knowledge.heard_part;
-    let level = bucket.level + overdraft;
-    let (available, rate) = (level * part, bucket.rate * part);
+    let rate = bucket.rate * part;
     let demand = bucket.demand(now);
-    let delay = knowledge.relay_delay.unwrap_or_default();
     let unreported = (demand - rate).max(0.0) * delay.as_secs_f64();
     if available >= (wanted + unreported).min(bucket.burst) {
         return 1.0;
--- a/src/process/forwarding/usage/bucket.rs
+++ b/src/process/forwarding/usage/bucket.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::prelude::*;
+use crate::process::forwarding::peers::SILENCE_TIMEOUT;
 use crate::process::forwarding::source::{Reach, Source};
 use crate::version::forwarding::ForwardCustomer;
 
@@ -121,6 +122,12 @@
     }
 }
 
+/// The time for which reports tell that no request waits any more, in case some are lost.
+const EMPTY_QUEUE_REPORT_TIME: Duration = Duration::from_secs(2);
+
+/// The most tokens of waiting requests that a report of one host may state, so that sums never overflow.
+const MAX_REPORTED_QUEUE: Tokens = 1 << 40;
+
 /// The time over which a customer's demand is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_secs(2);
 
@@ -135,8 +142,11 @@
     pub(super) burst: f64,
     /// The tokens available; negative while the bucket is overdrawn.
     pub(super) level: f64,
-    /// The tokens of requests that wait for the bucket to refill.
-    pub(super) queued: f64,
+    /// The tokens of this host's requests that wait for the bucket to refill, and when they last changed.
+    queued: f64,
+    queued_changed_at: Option<Instant>,
+    /// The same at other hosts, as they last reported it.
+    queued_elsewhere: HashMap<HostId, (Tokens, Instant)>,
     refilled_at: Instant,
     /// This host's own totals.
     own: UsageTotals,
@@ -162,6 +172,8 @@
             burst: customer.burst as f64,
             level,
             queued: 0.0,
+            queued_changed_at: None,
+            queued_elsewhere: HashMap::new(),
             refilled_at: now,
             own: UsageTotals::default(),
             reported: UsageTotals::default(),
@@ -201,6 +213,37 @@
         self.debit(tokens as f64);
     }
 
+    /// Adds `tokens` to those of this host's requests that wait, or removes them if negative.
+    pub(super) fn queue(&mut self, tokens: f64, now: Instant) {
+        self.queued = (self.queued + tokens).max(0.0);
+        self.queued_changed_at = Some(now);
+    }
+
+    /// Returns the tokens of this host's requests that wait; `None` if there are none and were none for a while.
+    pub(super) fn queued_tokens(&self, now: Instant) -> Option<Tokens> {
+        let age = now.saturating_duration_since(self.queued_changed_at?);
+        (self.queued > 0.0 || age < EMPTY_QUEUE_REPORT_TIME).then(|| whole(self.queued))
+    }
+
+    /// Replaces the tokens of another host's requests that wait.
+    pub(super) fn apply_queued(&mut self, host: &HostId, tokens: Tokens, now: Instant) {
+        if tokens == 0 {
+            self.queued_elsewhere.remove(host);
+        } else {
+            let tokens = tokens.min(MAX_REPORTED_QUEUE);
+            self.queued_elsewhere.insert(host.clone(), (tokens, now));
+        }
+    }
+
+    /// Returns the tokens of all requests that wait, at this host and, as far as it was heard lately, elsewhere.
+    pub(super) fn promised(&self, now: Instant) -> f64 {
+        let elsewhere = self.queued_elsewhere.values();
+        let heard =
+            elsewhere.filter(|(_, at)| now.saturating_duration_since(*at) < SILENCE_TIMEOUT);
+        let heard: Tokens = heard.map(|(tokens, _)| *tokens).sum();
+        self.queued + heard as f64
+    }
+
     pub(super) fn refund(&mut self, tokens: Tokens, now: Instant) {
         let totals = UsageTotals {
             refunded: tokens,
@@ -289,6 +332,9 @@
 
     pub(super) fn forget(&mut self, source: &Source) {
         self.sources.remove(source);
+        if let Source::Host(host) = source {
+            self.queued_elsewhere.remove(host);
+        }
     }
 
     /// Returns the totals within `reach` if they changed since `since`. Totals of this host alone count as reported from now on.
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -1,7 +1,7 @@
 //! The path of a forwarded request: admission, quarantine, rate limit, upstream, response.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::{BoxFuture, FutureExt};
 use http::Response;
@@ -11,7 +11,7 @@
 use crate::process::forwarding::directory::{Instance, Stage};
 use crate::process::forwarding::fleet::FleetState;
 use crate::process::forwarding::selection::Selection;
-use crate::process::forwarding::usage::{ChargeOutcome, UsageTracker};
+use crate::process::forwarding::usage::ChargeOutcome;
 use crate::process::metrics;
 use crate::request::forward::call::{Call, CallHead};
 use crate::request::forward::codec::CallCodec;
@@ -290,15 +290,18 @@
         .state
         .usage
         .charge(customer, tokens, max_wait, rand::random(), cx.clock.now());
-    let outcome = outcome.map_err(|wait| {
+    let outcome = outcome.map_err(|refusal| {
         let message = "rate of the customer used up; repeat after the time in Retry-After";
         Refusal::not_run(RefusalKind::RateLimited, message)
-            .with_retry_after(wait)
+            .with_retry_after(refusal.retry_after)
             .with_figures(format!(
-                "tokens={tokens} wait={}ms rate={} burst={}",
-                wait.as_millis(),
+                "tokens={tokens} wait={}ms rate={} burst={} level={:.0} promised={:.0} by={}",
+                refusal.retry_after.as_millis(),
                 customer.rate,
-                customer.burst
+                customer.burst,
+                refusal.level,
+                refusal.promised,
+                refusal.cause.name()
             ))
     })?;
     if let ChargeOutcome::Queued(wait) = outcome {
@@ -307,13 +310,15 @@
             wait.as_millis()
         ));
         let queued = QueuedCharge {
-            usage: &cx.state.usage,
+            cx,
             customer: &customer.id,
             tokens,
             is_queued: true,
         };
+        // Other hosts must not promise the same tokens.
+        cx.state.request_report();
         tokio::time::sleep(wait).await;
-        queued.charge(cx.clock.now());
+        queued.charge();
     }
     cx.state.request_report();
     Ok(Some((customer.id.clone(), tokens)))
@@ -321,23 +326,26 @@
 
 /// A place in the queue for the customer's rate. Dropping it leaves the queue.
 struct QueuedCharge<'a> {
-    usage: &'a UsageTracker,
+    cx: &'a ForwardContext,
     customer: &'a CustomerId,
     tokens: Tokens,
     is_queued: bool,
 }
 
 impl QueuedCharge<'_> {
-    fn charge(mut self, now: Instant) {
+    fn charge(mut self) {
         self.is_queued = false;
-        self.usage.charge_queued(self.customer, self.tokens, now);
+        let (usage, now) = (&self.cx.state.usage, self.cx.clock.now());
+        usage.charge_queued(self.customer, self.tokens, now);
     }
 }
 
 impl Drop for QueuedCharge<'_> {
     fn drop(&mut self) {
         if self.is_queued {
-            self.usage.cancel_queued(self.customer, self.tokens);
+            let (usage, now) = (&self.cx.state.usage, self.cx.clock.now());
+            usage.cancel_queued(self.customer, self.tokens, now);
+            self.cx.state.request_report();
         }
     }
 }
--- a/tests/suite/forward_relay_fleet.rs
+++ b/tests/suite/forward_relay_fleet.rs
@@ -1,4 +1,4 @@
-//! Hosts that exchange reports through relays, without a network and on a clock that tests advance.
+//! Hosts that exchange reports, directly or through relays, without a network and on a clock that tests advance.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -27,6 +27,31 @@
 /// The time within which all hosts send one round.
 pub const STEP: Duration = Duration::from_millis(100);
 
+/// How hosts report to each other.
+#[derive(Debug, Clone, Copy)]
+pub struct Reporting {
+    /// The number of hosts up to which all report to each other.
+    pub max_direct_hosts: usize,
+    /// The time between two rounds of reports of a host.
+    pub round: Duration,
+    /// The time within which all hosts send one round.
+    pub step: Duration,
+}
+
+/// Reports through relays, with the longest rounds of a large fleet.
+pub const RELAYED: Reporting = Reporting {
+    max_direct_hosts: 8,
+    round: ROUND,
+    step: STEP,
+};
+
+/// Direct reports, with the longest rounds of a fleet of 62 hosts: a change may just have missed a report, and waits for the next one.
+pub const DIRECT: Reporting = Reporting {
+    max_direct_hosts: 80,
+    round: Duration::from_millis(120),
+    step: Duration::from_millis(20),
+};
+
 /// The datagrams on their way, and how many each host has sent and received.
 #[derive(Default)]
 pub struct Datagrams {
@@ -83,8 +108,10 @@
     pub runs: bool,
 }
 
-/// A fleet with relays in six data centres.
+/// A fleet in six data centres.
 pub struct RelayFleet {
+    /// How its hosts report to each other.
+    pub reporting: Reporting,
     /// All hosts; each sixth one is in the same data centre.
     pub hosts: Vec<Host>,
     /// The clock of all hosts.
@@ -98,8 +125,19 @@
 impl RelayFleet {
     /// Starts `count` hosts that know each other and the customers, and whose buckets are full if `is_first_start`.
     pub fn start(count: usize, customers: Vec<ForwardCustomer>, is_first_start: bool) -> Self {
+        Self::start_with(RELAYED, count, customers, is_first_start)
+    }
+
+    /// The same for hosts that report to each other as `reporting` says.
+    pub fn start_with(
+        reporting: Reporting,
+        count: usize,
+        customers: Vec<ForwardCustomer>,
+        is_first_start: bool,
+    ) -> Self {
         let runtime = tokio::runtime::Builder::new_current_thread();
         let mut fleet = Self {
+            reporting,
             hosts: Vec::new(),
             clock: Arc::default(),
             datagrams: Arc::default(),
@@ -151,14 +189,14 @@
                 clock: self.clock.clone(),
                 link: Arc::new(link),
                 settings: ExchangeSettings {
-                    max_direct_hosts: 8,
+                    max_direct_hosts: self.reporting.max_direct_hosts,
                     ..ExchangeSettings::default()
                 },
                 reported_work: Mutex::default(),
             },
             state,
             number: 0,
-            next_round: now + ROUND / 3 * spread / 100,
+            next_round: now + self.reporting.round / 3 * spread / 100,
             runs: true,
         }
     }
@@ -197,10 +235,11 @@
         *lock(&self.datagrams.lost_each) = count;
     }
 
-    /// Lets `STEP` pass: each host sends if its round is due, and applies what has arrived.
+    /// Lets a step pass: each host sends if its round is due, and applies what has arrived.
     pub fn step(&mut self) {
-        self.clock.advance(STEP);
+        self.clock.advance(self.reporting.step);
         let now = self.clock.now();
+        let round_time = self.reporting.round;
         for host in self.hosts.iter_mut().filter(|host| host.runs) {
             let address = host.exchange.own.address;
             let received = lock(&self.datagrams.inboxes).remove(&address);
@@ -208,7 +247,7 @@
                 host.exchange.apply_report(&report, now);
             }
             if now >= host.next_round {
-                host.next_round = now + ROUND;
+                host.next_round = now + round_time;
                 let round = host.exchange.run_round(&mut host.number);
                 self.runtime.block_on(round);
             }
--- a/tests/suite/forward_relays.rs
+++ b/tests/suite/forward_relays.rs
@@ -12,12 +12,12 @@
 use hibiscusspread::process::forwarding::peers::{HostReport, PeerTable, ReportFreshness};
 use hibiscusspread::process::forwarding::relays::Role;
 use hibiscusspread::process::forwarding::source::Reach;
-use hibiscusspread::process::forwarding::usage::UsageTotals;
+use hibiscusspread::process::forwarding::usage::{ChargeOutcome, UsageTotals};
 use hibiscusspread::process::forwarding::wait_queue::Waiter;
 use hibiscusspread::version::forwarding::{ForwardCustomer, ForwardingTable};
 
 use crate::forward_fleet::{decode_instance, report};
-use crate::forward_relay_fleet::{ROUND, RelayFleet};
+use crate::forward_relay_fleet::{DIRECT, ROUND, RelayFleet};
 use crate::forward_usage::customer_with;
 
 /// The most datagrams that a host may send and receive a second, on average.
@@ -194,17 +194,31 @@
 
 /// Requests of one customer that reach hosts at random.
 struct Demand {
+    customer: ForwardCustomer,
     draws: Draws,
+    /// For how long a request may wait for its tokens.
+    max_wait: Duration,
+    /// Whether the caller of a refused request returns once, after its `Retry-After`.
+    callers_return: bool,
     /// When requests were granted, and their tokens.
     granted: Vec<(Instant, u64)>,
+    /// The requests that wait for their tokens: until when, at which host, and the tokens.
+    waiting: Vec<(Instant, usize, u64)>,
+    /// When the callers of refused requests return, and the tokens of the requests.
+    returning: Vec<(Instant, u64)>,
     requested: u64,
 }
 
 impl Demand {
     fn new(seed: u64) -> Self {
         Self {
+            customer: customer(),
             draws: Draws(seed),
+            max_wait: Duration::ZERO,
+            callers_return: false,
             granted: Vec::new(),
+            waiting: Vec::new(),
+            returning: Vec::new(),
             requested: 0,
         }
     }
@@ -215,25 +229,53 @@
         let mut due = 0.0;
         while fleet.now() < end {
             fleet.step();
-            due += tokens_per_s as f64 * crate::forward_relay_fleet::STEP.as_secs_f64();
+            self.grant_waiting(fleet);
+            let now = fleet.now();
+            let back = self.returning.extract_if(.., |(at, _)| *at <= now);
+            for (_, tokens) in back.collect::<Vec<_>>() {
+                self.request(fleet, tokens);
+            }
+            due += tokens_per_s as f64 * fleet.reporting.step.as_secs_f64();
             while due > 0.0 {
                 let tokens = 2000 + self.draws.below(6400);
                 due -= tokens as f64;
                 self.requested += tokens;
-                let place = self.draws.below(fleet.hosts.len() as u64);
-                let host = &fleet.hosts[usize::try_from(place).expect("place is small")];
-                let (draw, now) = (self.draws.next(), fleet.now());
-                let charged =
-                    host.state
-                        .usage
-                        .charge(&customer(), tokens, Duration::ZERO, draw, now);
-                if host.runs && charged.is_ok() {
-                    self.granted.push((now, tokens));
+                if let Some(wait) = self.request(fleet, tokens)
+                    && self.callers_return
+                {
+                    let at = now + wait.mul_f64(1.0 + self.draws.next() / 5.0);
+                    self.returning.push((at, tokens));
                 }
             }
         }
     }
 
+    /// Sends a request to some host. Returns its `Retry-After` if it is refused.
+    fn request(&mut self, fleet: &RelayFleet, tokens: u64) -> Option<Duration> {
+        let place = self.draws.below(fleet.hosts.len() as u64);
+        let place = usize::try_from(place).expect("place is small");
+        let (host, now) = (&fleet.hosts[place], fleet.now());
+        let (usage, draw) = (&host.state.usage, self.draws.next());
+        let charged = usage.charge(&self.customer, tokens, self.max_wait, draw, now);
+        match charged {
+            Ok(ChargeOutcome::Granted) if host.runs => self.granted.push((now, tokens)),
+            Ok(ChargeOutcome::Queued(wait)) => self.waiting.push((now + wait, place, tokens)),
+            Ok(ChargeOutcome::Granted) => {}
+            Err(refusal) => return Some(refusal.retry_after),
+        }
+        None
+    }
+
+    fn grant_waiting(&mut self, fleet: &RelayFleet) {
+        let now = fleet.now();
+        let due = self.waiting.extract_if(.., |(until, _, _)| *until <= now);
+        for (_, place, tokens) in due {
+            let usage = &fleet.hosts[place].state.usage;
+            usage.charge_queued(&self.customer.id, tokens, now);
+            self.granted.push((now, tokens));
+        }
+    }
+
     fn total(&self) -> u64 {
         self.granted.iter().map(|(_, tokens)| tokens).sum()
     }
@@ -312,6 +354,42 @@
     assert!(most <= allowed, "{most} of {allowed}");
 }
 
+/// The rate of a customer, its burst, and what hosts may grant in eight seconds, on a deployment of 62 hosts.
+const HOT_RATE: u64 = 115_000;
+const HOT_ALLOWED: u64 = (HOT_RATE * 9) * 11 / 10 + 190_000;
+
+/// Starts hosts that report to each other directly, and the demand of a customer whose requests wait for their tokens.
+fn start_direct(count: usize, seed: u64) -> (RelayFleet, Demand) {
+    let customer = customer_with(HOT_RATE, HOT_RATE);
+    let fleet = RelayFleet::start_with(DIRECT, count, vec![customer.clone()], true);
+    let demand = Demand {
+        customer,
+        max_wait: Duration::from_millis(1200),
+        callers_return: true,
+        ..Demand::new(seed)
+    };
+    (fleet, demand)
+}
+
+/// Load pattern: one customer asks for eight times its rate at all hosts, and refused callers return at the same time. Guards against hosts
+/// that each promise the same tokens to the requests which wait for them.
+#[test]
+fn limit_holds_while_requests_wait_at_many_hosts() {
+    for (count, seed) in [(9, 1), (62, 2)] {
+        let (mut fleet, mut demand) = start_direct(count, seed);
+        demand.run(&mut fleet, seconds(2), HOT_RATE / 2);
+        demand.run(&mut fleet, seconds(9), HOT_RATE * 8);
+        let most = demand.most_in_window();
+        assert!(
+            most <= HOT_ALLOWED,
+            "{count} hosts: {most} of {HOT_ALLOWED}"
+        );
+        // The customer gets most of its rate all the same.
+        let total = demand.total();
+        assert!(total >= HOT_RATE * 9 * 9 / 10, "{count} hosts: {total}");
+    }
+}
+
 /// Guards against a withdrawn key or a leaving upstream that hosts without a read of the store of their own hear of too late: after
 /// two seconds, half of what the platform allows.
 #[test]
--- a/tests/suite/forward_report_codec.rs
+++ b/tests/suite/forward_report_codec.rs
@@ -72,6 +72,18 @@
     assert_eq!(received, sent);
 }
 
+/// Guards against queued tokens that don't reach other hosts, so that these promise the same ones.
+#[test]
+fn queued_tokens_follow_a_report() {
+    let queued = ReportSection::QueuedTokens(vec![("coast".into(), 5300), ("ridge".into(), 0)]);
+    let sent = HostReport {
+        sections: vec![queued],
+        ..full_report()
+    };
+    let bytes = encode_report(&sent).expect("report encodes");
+    assert_eq!(decode_report(&bytes), Ok(sent));
+}
+
 proptest! {
     /// Guards against a panic, or a report that is lost, on any bytes after a sound report.
     #[test]
--- a/tests/suite/forward_usage.rs
+++ b/tests/suite/forward_usage.rs
@@ -7,7 +7,7 @@
 use hibiscusspread::prelude::*;
 use hibiscusspread::process::forwarding::source::{Reach, Source};
 use hibiscusspread::process::forwarding::usage::{
-    ChargeOutcome, Reporter, UsageSettings, UsageTotals, UsageTracker,
+    ChargeOutcome, FleetKnowledge, RefusalCause, Reporter, UsageSettings, UsageTotals, UsageTracker,
 };
 use hibiscusspread::version::forwarding::ForwardCustomer;
 
@@ -71,7 +71,8 @@
     assert!(granted <= BURST, "{granted}");
     let wait = tracker
         .charge(&customer(), LARGE, Duration::ZERO, DRAW, now)
-        .expect_err("used up");
+        .expect_err("used up")
+        .retry_after;
     assert!(
         tracker
             .charge(
@@ -129,12 +130,76 @@
         panic!("{second:?}");
     };
     assert!(second >= first + millis(450), "{first:?} {second:?}");
-    tracker.cancel_queued(&customer().id, LARGE);
-    tracker.cancel_queued(&customer().id, LARGE);
+    tracker.cancel_queued(&customer().id, LARGE, now);
+    tracker.cancel_queued(&customer().id, LARGE, now);
     let third = tracker.charge(&customer(), LARGE, millis(2000), DRAW, now);
     assert_eq!(third, Ok(ChargeOutcome::Queued(first)));
 }
 
+/// Guards against two hosts that promise the same tokens to requests which wait for them, and against promises that outlast their host.
+#[test]
+fn tokens_promised_elsewhere_are_not_promised_again() {
+    let now = Instant::now();
+    let (here, there) = (tracker(0.0), tracker(0.0));
+    let wait_of = |tracker: &UsageTracker, now: Instant| match tracker.charge(
+        &customer(),
+        LARGE,
+        millis(3000),
+        DRAW,
+        now,
+    ) {
+        Ok(ChargeOutcome::Queued(wait)) => {
+            tracker.cancel_queued(&customer().id, LARGE, now);
+            wait
+        }
+        Ok(ChargeOutcome::Granted) => {
+            tracker.refund(&customer().id, LARGE, now);
+            Duration::ZERO
+        }
+        Err(refusal) => panic!("{refusal:?}"),
+    };
+    let alone = wait_of(&here, now);
+    let queued = there.charge(&customer(), LARGE, millis(3000), DRAW, now);
+    assert!(matches!(queued, Ok(ChargeOutcome::Queued(_))));
+    let reported = there.queued_tokens(now);
+    assert_eq!(reported, [(customer().id, LARGE)]);
+    here.apply_queued(&"there".into(), &reported, now);
+    assert_eq!(wait_of(&here, now), alone + millis(500));
+    // Small requests don't wait behind large ones, wherever these are.
+    let small = here.charge(&customer(), 200, Duration::ZERO, DRAW, now);
+    assert_eq!(small, Ok(ChargeOutcome::Granted));
+    here.refund(&customer().id, 200, now);
+    there.cancel_queued(&customer().id, LARGE, now);
+    here.apply_queued(&"there".into(), &there.queued_tokens(now), now);
+    assert_eq!(wait_of(&here, now), alone);
+    // A host that is gone takes its promises with it.
+    here.apply_queued(&"there".into(), &reported, now);
+    assert!(wait_of(&here, now + millis(1300)) < alone);
+}
+
+/// Guards against hosts that all grant what is left of a bucket before they hear of each other.
+#[test]
+fn large_requests_are_granted_by_chance_near_the_limit() {
+    let tracker = tracker(1.0);
+    tracker.set_knowledge(FleetKnowledge {
+        hosts: 62,
+        report_delay: millis(200),
+        ..FleetKnowledge::default()
+    });
+    let mut now = Instant::now();
+    let charge = |draw, now| tracker.charge(&customer(), LARGE, Duration::ZERO, draw, now);
+    // Twenty times the rate, of which this host sees all.
+    for _ in 0..100 {
+        now += millis(25);
+        let _ = charge(1.0, now);
+    }
+    // The bucket has filled up meanwhile, and the whole fleet may be asked for more than it holds before the next report.
+    assert_eq!(charge(0.0, now), Ok(ChargeOutcome::Granted));
+    let refusal = charge(1.0, now).expect_err("refused by chance");
+    assert_eq!(refusal.cause, RefusalCause::Chance);
+    assert!(refusal.retry_after >= millis(500), "{refusal:?}");
+}
+
 /// Guards against a host that ignores the grants of others, or charges a repeated report twice.
 #[test]
 fn grants_of_other_hosts_are_charged_once() {
