Share what is left of a limit among hosts that don't hear each other

What callers would see: a customer gets a whole burst from each host that is cut off from the others.

Cause: without relays, a host granted all tokens that its bucket held when it last heard of the others, however many hosts did the same.

Evidence: limit_holds_while_hosts_without_relays_are_cut_off failed with 3,120,091 of 1,328,500 tokens.

Change: the part of the fleet that a host hears scales tokens, rate and overdraft with and without relays.

--- a/src/process/forwarding/usage.rs
+++ b/src/process/forwarding/usage.rs
@@ -2,7 +2,7 @@
 //!
 //! Every host keeps a token bucket per customer, and charges it for its own requests and for the grants that other hosts report. A
 //! silent source of reports is assumed to grant its hosts' even share of the rate until it reports again. So after a network
-//! partition both groups of hosts together grant no more than the rate, and at most one burst each.
+//! partition both groups of hosts together grant no more than the rate, and each at most its hosts' share of the tokens that were left.
 //!
 //! All hosts see the same tokens at once until they hear of each other's grants. So a large request is granted for certain only if the
 //! bucket also holds what the whole fleet may be asked for meanwhile; otherwise it is granted with the probability with which the
@@ -85,8 +85,8 @@
     pub has_relays: bool,
     /// The longest time after which all hosts have heard of a grant, apart from lost reports.
     pub report_delay: Duration,
-    /// The part of all hosts whose grants are reported to this one, its own included. With relays, hosts that don't hear each other
-    /// share the tokens of a bucket as they stood when they last did.
+    /// The part of all hosts whose grants are reported to this one, its own included. Hosts that don't hear each other share the tokens
+    /// of a bucket as they stood when they last did.
     pub heard_part: f64,
     /// Whether other hosts' grants were reported since the start of this host.
     pub is_informed: bool,
@@ -242,13 +242,8 @@
         bucket.burst = customer.burst as f64;
         bucket.refill(now);
         bucket.request(tokens, now);
-        let need = self.need(bucket, tokens, now);
-        let delay = knowledge.report_delay;
-        let part = if knowledge.has_relays {
-            knowledge.heard_part
-        } else {
-            1.0
-        };
+        let (part, delay) = (knowledge.heard_part, knowledge.report_delay);
+        let need = self.need(bucket, tokens, part, now);
         let (level, rate) = (bucket.level * part, bucket.rate * part);
         let wait = ((need.level - level) / rate).max(0.0);
         let wait = Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX);
@@ -264,7 +259,7 @@
             ..refusal
         };
         if knowledge.has_relays {
-            let available = (bucket.level + need.overdraft) * part;
+            let available = level + need.overdraft;
             if draw < grant_probability(bucket, tokens as f64, available, part, delay, now) {
                 bucket.grant(tokens, now);
                 return Ok(ChargeOutcome::Granted);
@@ -297,14 +292,14 @@
         Ok(ChargeOutcome::Queued(wait))
     }
 
-    /// Returns what a request of `tokens` needs of its customer's bucket.
-    fn need(&self, bucket: &Bucket, tokens: Tokens, now: Instant) -> Need {
+    /// Returns what a request of `tokens` needs of its customer's bucket at a host that hears `part` of all hosts.
+    fn need(&self, bucket: &Bucket, tokens: Tokens, part: f64, now: Instant) -> Need {
         let wanted = tokens as f64;
         let small_request_limit = bucket.burst * self.settings.small_request_fraction;
         let is_small = wanted <= small_request_limit;
         let promised = bucket.promised(now);
         let overdraft = if is_small {
-            bucket.burst * self.settings.small_request_overdraft
+            bucket.burst * self.settings.small_request_overdraft * part
         } else {
             0.0
         };
--- a/tests/suite/forward_relays.rs
+++ b/tests/suite/forward_relays.rs
@@ -390,6 +390,21 @@
     }
 }
 
+/// Load pattern: one customer asks for several times its rate while a third of the hosts hears nobody. Guards against hosts that each grant
+/// the whole burst that was left when they last heard of each other.
+#[test]
+fn limit_holds_while_hosts_without_relays_are_cut_off() {
+    let (mut fleet, mut demand) = start_direct(62, 4);
+    demand.run(&mut fleet, seconds(2), HOT_RATE / 2);
+    for index in (0..62).step_by(3) {
+        fleet.set_cut_off(index, true);
+    }
+    demand.run(&mut fleet, seconds(2), HOT_RATE / 2);
+    demand.run(&mut fleet, seconds(6), HOT_RATE * 6);
+    let most = demand.most_in_window();
+    assert!(most <= HOT_ALLOWED, "{most} of {HOT_ALLOWED}");
+}
+
 /// Guards against a withdrawn key or a leaving upstream that hosts without a read of the store of their own hear of too late: after
 /// two seconds, half of what the platform allows.
 #[test]
