Give up a response after a few interim ones, and bound what a connection reads ahead

Cause: the HTTP library reads on as long as interim responses arrive, as fast as they do. Each connection also kept up to about 400 KB that it had read ahead.

Change: more than 16 interim responses break the call, which counts as a failure of the upstream. A connection reads 32 KiB ahead at most, which is also the largest head of a response. Both hold for upstreams, the store and the project's own engines.

--- a/src/connection/forward/upstream_pool.rs
+++ b/src/connection/forward/upstream_pool.rs
@@ -16,7 +16,7 @@
 use hyper::client::conn::http1;
 use tokio::net::TcpStream;
 
-use crate::connection::http_client::{ConnectionTask, open_connection};
+use crate::connection::http_client::{ConnectionTask, SendError, open_connection, send_request};
 use crate::process::shard::Shards;
 use crate::request::forward::transport::{
     BodyError, SendFailure, SendLimits, UpstreamBody, UpstreamTransport,
@@ -182,15 +182,13 @@
     req: Request<Full<Bytes>>,
     deadline: Instant,
 ) -> ExchangeResult {
-    let sending = connection.sender.try_send_request(req);
+    let sending = send_request(&mut connection.sender, req);
     match tokio::time::timeout_at(deadline.into(), sending).await {
         Ok(Ok(response)) => ExchangeResult::Response(connection, response),
-        Ok(Err(mut e)) => match e.take_message() {
-            Some(req) => ExchangeResult::Unsent(req, e.error().to_string()),
-            None => ExchangeResult::Failed(SendFailure::Broken {
-                cause: e.error().to_string(),
-            }),
-        },
+        Ok(Err(SendError::Unsent { req, cause })) => ExchangeResult::Unsent(*req, cause),
+        Ok(Err(SendError::Broken { cause })) => {
+            ExchangeResult::Failed(SendFailure::Broken { cause })
+        }
         Err(_) => ExchangeResult::Failed(SendFailure::Timeout),
     }
 }
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -11,11 +13,13 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
+use hyper::ext::on_informational;
 use hyper::{Request, Response, Uri};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use crate::prelude::*;
@@ -23,6 +27,13 @@
 /// The largest response body read into memory, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// The most bytes read from a connection before they are passed on, which is also the largest head of a response. Each connection of a
+/// host may hold as many.
+const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
+
+/// The most interim responses, such as `100 Continue`, before the final one.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
 /// The time limit to open a connection. The round trip to an upstream takes about a millisecond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -49,12 +60,16 @@
         let socket = connect(req.uri(), timeout.min(CONNECT_TIMEOUT)).await?;
         let broken = |e| UpstreamError::may_have_run(UpstreamErrorKind::Broken, e);
         let (mut sender, connection) = open_connection(socket).await.map_err(broken)?;
-        match tokio::time::timeout_at(deadline, sender.send_request(origin_form(req)?)).await {
+        let sending = send_request(&mut sender, origin_form(req)?);
+        match tokio::time::timeout_at(deadline, sending).await {
             Ok(Ok(response)) => Ok(response.map(|body| AnswerBody {
                 body,
                 _connection: connection,
             })),
-            Ok(Err(e)) => Err(broken(e)),
+            Ok(Err(SendError::Broken { cause } | SendError::Unsent { cause, .. })) => {
+                let broken = UpstreamErrorKind::Broken;
+                Err(UpstreamError::may_have_run(broken, cause))
+            }
             Err(_) => {
                 let cause = format!("no answer in {timeout:?}");
                 Err(UpstreamError::may_have_run(
@@ -138,7 +153,10 @@
 pub async fn open_connection(
     socket: TcpStream,
 ) -> Result<(http1::SendRequest<Full<Bytes>>, ConnectionTask), hyper::Error> {
-    let (sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(socket));
+    let (sender, connection) = handshake.await?;
     let task = tokio::spawn(async move {
         // The pending request or its body reports the error too.
         let _ = connection.await;
@@ -146,6 +164,58 @@
     Ok((sender, ConnectionTask(task)))
 }
 
+/// Why a request got no response on its connection.
+#[derive(Debug)]
+pub enum SendError {
+    /// The connection had closed before a byte was sent.
+    Unsent {
+        /// The request.
+        req: Box<Request<Full<Bytes>>>,
+        /// The error of the HTTP library.
+        cause: String,
+    },
+    /// The connection broke, or what arrived is no response.
+    Broken {
+        /// The error of the HTTP library, or what is wrong with the response.
+        cause: String,
+    },
+}
+
+/// Sends a request on an open connection and waits for the head of its final response. After an error, or if the future is dropped, the
+/// connection must not be used again.
+///
+/// # Errors
+/// Returns a `SendError` that tells whether the request may have been sent.
+pub async fn send_request(
+    sender: &mut http1::SendRequest<Full<Bytes>>,
+    mut req: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, SendError> {
+    let is_flooded = Arc::new(Notify::new());
+    let (interim, flooded) = (AtomicU32::new(0), is_flooded.clone());
+    // The HTTP library reads on as long as interim responses arrive.
+    on_informational(&mut req, move |_| {
+        if interim.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+            flooded.notify_one();
+        }
+    });
+    tokio::select! {
+        sent = sender.try_send_request(req) => sent.map_err(|mut e| {
+            let cause = e.error().to_string();
+            match e.take_message() {
+                Some(req) => SendError::Unsent {
+                    req: Box::new(req),
+                    cause,
+                },
+                None => SendError::Broken { cause },
+            }
+        }),
+        () = is_flooded.notified() => {
+            let cause = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
+            Err(SendError::Broken { cause })
+        }
+    }
+}
+
 impl Drop for ConnectionTask {
     fn drop(&mut self) {
         self.0.abort();
--- a/tests/suite/forward_connections.rs
+++ b/tests/suite/forward_connections.rs
@@ -193,6 +193,27 @@
     assert_eq!(received.expect("a report arrives"), sent);
 }
 
+/// Reads a request with its body on a connection of an upstream. Returns its head in lower case; `None` at the end of the connection.
+pub async fn read_request(socket: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if !matches!(socket.read_line(&mut head).await, Ok(read) if read > 0) {
+            return None;
+        }
+    }
+    let head = head.to_ascii_lowercase();
+    let length = header(&head, "content-length").and_then(|text| text.parse().ok());
+    let mut body = vec![0; length.unwrap_or_default()];
+    socket.read_exact(&mut body).await.ok()?;
+    Some(head)
+}
+
+/// Returns the value of a header of a request head in lower case.
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines();
+    lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+}
+
 /// The requests that an engine ran, by their ids.
 type RanIds = Arc<Mutex<Vec<String>>>;
 
@@ -201,25 +222,9 @@
 async fn repeat_refusal(socket: TcpStream, ran: RanIds) {
     let mut socket = BufReader::new(socket);
     let mut refusal = None;
-    loop {
-        let mut head = String::new();
-        while !head.ends_with("\r\n\r\n") {
-            if !matches!(socket.read_line(&mut head).await, Ok(read) if read > 0) {
-                return;
-            }
-        }
-        let head = head.to_ascii_lowercase();
-        let header = |name: &str| {
-            let mut lines = head.lines();
-            lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
-        };
-        let length = header("content-length").and_then(|text| text.parse().ok());
-        let mut body = vec![0; length.unwrap_or_default()];
-        if socket.read_exact(&mut body).await.is_err() {
-            return;
-        }
-        let id = header("x-request-id").unwrap_or_default();
-        let answer = if header("x-stage").is_some() {
+    while let Some(head) = read_request(&mut socket).await {
+        let id = header(&head, "x-request-id").unwrap_or_default();
+        let answer = if header(&head, "x-stage").is_some() {
             let text = format!(
                 "HTTP/1.1 503 Full\r\nx-request-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
             );
--- a/tests/suite/forward_endless.rs
+++ b/tests/suite/forward_endless.rs
@@ -5,8 +5,10 @@
 use http::Request;
 use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 use hibiscusspread::connection::forward::upstream_pool::{PooledTransport, UpstreamPool};
+use hibiscusspread::connection::http_client::HttpClient;
 use hibiscusspread::request::forward::transport::{SendFailure, SendLimits, UpstreamTransport};
 
 use crate::platform_stand_in::{Behaviour, EVENT_COUNT, Platform, event};
@@ -122,8 +124,7 @@
 /// Guards against a response head without end: it is given up after a bounded number of bytes, and the connection is closed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endless_head_is_given_up() {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
-    let listener = listener.expect("loopback");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
     let address = listener.local_addr().expect("address");
     let server = tokio::spawn(async move {
         let (mut socket, _) = listener.accept().await.expect("connection");
@@ -151,3 +152,50 @@
     let written = server.await.expect("server ends");
     assert!(written < 16 << 20, "{written}");
 }
+
+/// Answers one request with `count` interim responses, and a final one after them.
+async fn answer_after_interim(listener: &TcpListener, count: usize) {
+    let (mut socket, _) = listener.accept().await.expect("connection");
+    let mut buf = [0; 4096];
+    let _ = socket.read(&mut buf).await.expect("request");
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for _ in 0..count {
+        if socket.write_all(interim.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+    let last = socket.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    // The host may have closed the connection.
+    let _ = last.await;
+}
+
+/// Guards against interim responses without end, which keep a host busy until the deadline, and against the loss of a response that follows
+/// a few of them; for calls to upstreams, and for those to the store and to the project's own engines.
+#[tokio::test]
+async fn interim_responses_without_end_are_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let address = listener.local_addr().expect("address");
+    for (count, is_answered) in [(3, true), (1_000_000, false)] {
+        let transport = PooledTransport(UpstreamPool::new());
+        let limits = SendLimits {
+            connect_timeout: Duration::from_secs(1),
+            deadline: Instant::now() + Duration::from_secs(10),
+            may_reuse_connection: false,
+        };
+        let req = Request::get("/").body(Full::default()).expect("request");
+        let sending = transport.send(address, req, limits);
+        let (sent, ()) = tokio::join!(sending, answer_after_interim(&listener, count));
+        match sent {
+            Ok(_) => assert!(is_answered),
+            Err(e) => assert!(
+                !is_answered && matches!(e, SendFailure::Broken { .. }),
+                "{e}"
+            ),
+        }
+        let req = Request::get(format!("http://{address}/")).body(Full::default());
+        let client = HttpClient::default();
+        let sending = client.send(req.expect("request"), Duration::from_secs(10));
+        let (sent, ()) = tokio::join!(sending, answer_after_interim(&listener, count));
+        assert_eq!(sent.is_ok(), is_answered);
+    }
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod distribution;
 mod document;
 mod double_failures;
+mod endless_answers;
 mod engine_emulator;
 mod engine_faults;
 mod engine_fleet;
--- a/tests/suite/soak_hosts.rs
+++ b/tests/suite/soak_hosts.rs
@@ -146,6 +146,18 @@
         exit_status
     }
 
+    /// Returns the most memory that the process has used so far, in MiB.
+    pub fn peak_memory(&self) -> u64 {
+        let child = lock(&self.child);
+        let pid = child.as_ref().expect("host runs").id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status"));
+        let status = status.expect("process is there");
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
+        let kib: u64 = peak.expect("peak").trim().parse().expect("number");
+        kib >> 10
+    }
+
     /// Returns the lines of its log that report a panic.
     pub fn panics(&self) -> Vec<String> {
         let log = std::fs::read_to_string(&self.log).unwrap_or_default();
