Show that streams without a stated deadline are cut after 10 s

Review case 13: without X-Deadline-Ms a host ends streams after its default of 10 s although the route allows 14 s. Beside a planned stop that breaks LOST.

--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -15,6 +15,8 @@
 mod case_11;
 #[path = "../12/case.rs"]
 mod case_12;
+#[path = "../13/case.rs"]
+mod case_13;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -56,6 +58,7 @@
     let verdict = match case.as_str() {
         "11" => case_11::run(&run),
         "12" => case_12::run(&run),
+        "13" => case_13::run(&run),
         other => Verdict::NotRun(format!("no case {other}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
