Show that bodies which the configuration allows are refused

Review case 14: hosts read maxBodyBytes of the configuration and use their own limit of 4 MiB, so proper requests get 413 once the operator allows more.

--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -17,6 +17,8 @@
 mod case_12;
 #[path = "../13/case.rs"]
 mod case_13;
+#[path = "../14/case.rs"]
+mod case_14;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -59,6 +61,7 @@
         "11" => case_11::run(&run),
         "12" => case_12::run(&run),
         "13" => case_13::run(&run),
+        "14" => case_14::run(&run),
         other => Verdict::NotRun(format!("no case {other}")),
     };
     if std::env::var_os("KEEP_LOGS").is_none() {
