Log each crash that counts against requests, and its upstreams in refusals

Callers saw equal lookups refused with 503 at all hosts for an hour after two answers had been lost. The log had the refusals only: neither which upstreams had counted as crashed nor why, so that it could not tell a crash from a lost answer.

A line of target `quarantine` names the upstream, its start, the request and how its call ended. The line of a refused request names the fingerprint and the crashed upstreams.

--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -430,6 +430,11 @@
         lock(&self.crashes).is_quarantined(fingerprint, now)
     }
 
+    /// Returns the upstreams that crashed on requests with this fingerprint, for the log.
+    pub fn crashed_upstreams(&self, fingerprint: &Digest) -> Vec<UpstreamId> {
+        lock(&self.crashes).crashed_upstreams(fingerprint)
+    }
+
     /// Takes one retry from this host's budget and counts it under `cause`; returns whether the budget had one left.
     pub fn take_retry(&self, service: &ModelId, cause: &'static str, now: Instant) -> bool {
         let hosts = self.peers().host_count();
--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -45,3 +45,12 @@
     let parts = [model.as_bytes(), part.as_bytes()];
     hash_parts("hibiscusspread prompt part fingerprint v1", &parts)
 }
+
+/// The hexadecimal digits of a fingerprint in the log.
+const LOG_DIGITS: usize = 16;
+
+/// Returns the first digits of a fingerprint, for the log.
+pub fn short_digits(fingerprint: &Digest) -> String {
+    let digits = blake3::Hash::from_bytes(*fingerprint).to_hex();
+    digits[..LOG_DIGITS].to_owned()
+}
--- a/src/process/quarantine/crash_table.rs
+++ b/src/process/quarantine/crash_table.rs
@@ -98,6 +98,13 @@
             .is_some_and(|entry| !is_expired(entry, now) && entry.crashes.len() >= MAX_CRASHES)
     }
 
+    /// Returns the upstreams of the crashes of a fingerprint, for the log.
+    pub fn crashed_upstreams(&self, fingerprint: &Digest) -> Vec<UpstreamId> {
+        let crashes = self.entries.get(fingerprint).into_iter();
+        let crashes = crashes.flat_map(|entry| &entry.crashes);
+        crashes.map(|crash| crash.upstream.clone()).collect()
+    }
+
     fn evict_if_full(&mut self, now: Instant) {
         if self.entries.len() < self.capacity {
             return;
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -17,6 +17,7 @@
 use crate::process::forwarding::source::Reach;
 use crate::process::message::CrashReport;
 use crate::process::metrics;
+use crate::process::quarantine::short_digits;
 use crate::request::forward::call::{AttemptHead, Call, CallPart};
 use crate::request::forward::flow::ForwardContext;
 use crate::request::forward::transport::{SendFailure, SendLimits, UpstreamBody};
@@ -270,8 +271,8 @@
             Err(AttemptFailure::Send(failure)) => {
                 // If the upstream hangs or has restarted, its other kept connections are dead too.
                 self.cx.transport.close_idle(self.instance.address);
-                if matches!(failure, SendFailure::Broken { .. }) {
-                    self.report_crash(call);
+                if let SendFailure::Broken { cause } = failure {
+                    self.report_crash(call, cause);
                     if is_generation {
                         self.report_crashing_parts(call);
                     }
@@ -363,9 +364,18 @@
         }
     }
 
-    /// Records that the upstream may have crashed on the request, and reports it to other hosts.
-    pub fn report_crash(&self, call: &Call) {
-        self.report_crash_of(call, [call.fingerprint()]);
+    /// Records that the upstream may have crashed on the request, and reports it to other hosts. `cause` tells how the call ended.
+    pub fn report_crash(&self, call: &Call, cause: &str) {
+        let fingerprint = call.fingerprint();
+        log::info!(
+            target: "quarantine",
+            "upstream {} started={} broke off request {}, which counts as a crash: fingerprint={} {cause}",
+            self.instance.id,
+            self.instance.born,
+            call.head.id,
+            short_digits(&fingerprint),
+        );
+        self.report_crash_of(call, [fingerprint]);
     }
 
     /// Records that the upstream may have crashed on a part of the prompt, and reports it to other hosts. Only a request that has
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -13,6 +13,7 @@
 use crate::process::forwarding::selection::Selection;
 use crate::process::forwarding::usage::ChargeOutcome;
 use crate::process::metrics;
+use crate::process::quarantine::short_digits;
 use crate::request::forward::call::{Call, CallHead};
 use crate::request::forward::codec::CallCodec;
 use crate::request::forward::generation;
@@ -49,9 +50,6 @@
 /// The `Retry-After` of a host that stops. Other hosts accept the request at once.
 pub const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// The hexadecimal digits of a part's fingerprint in the log.
-const PART_LOG_DIGITS: usize = 16;
-
 /// The route and the customer of an admitted request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Admitted {
@@ -227,23 +225,25 @@
 pub fn check_quarantine(cx: &ForwardContext, call: &Call) -> Result<(), Refusal> {
     let now = cx.clock.now();
     let crashing_part = cx.state.crashing_part(&call.part_fingerprints(), now);
-    let (message, figures) = if cx.state.is_quarantined(&call.fingerprint(), now) {
+    let fingerprint = call.fingerprint();
+    let (message, figures) = if cx.state.is_quarantined(&fingerprint, now) {
         let message = "equal requests crashed their upstreams; don't repeat it";
-        (message, None)
+        let upstreams = cx.state.crashed_upstreams(&fingerprint).join(",");
+        let fingerprint = short_digits(&fingerprint);
+        (
+            message,
+            format!("fingerprint={fingerprint} crashed={upstreams}"),
+        )
     } else if let Some(part) = crashing_part {
         let message =
             "requests with a part of this prompt crashed their upstreams; don't repeat it";
-        let part = blake3::Hash::from_bytes(part).to_hex();
-        (message, Some(format!("part={}", &part[..PART_LOG_DIGITS])))
+        (message, format!("part={}", short_digits(&part)))
     } else {
         return Ok(());
     };
     let refusal = Refusal::not_run(RefusalKind::Unavailable, message);
     let refusal = refusal.with_retry_after(cx.settings.default_deadline);
-    Err(match figures {
-        Some(figures) => refusal.with_figures(figures),
-        None => refusal,
-    })
+    Err(refusal.with_figures(figures))
 }
 
 /// Creates the refusal of a request that no upstream served. `possible_runs` counts the attempts that ran or may have run;
--- a/src/request/forward/relay.rs
+++ b/src/request/forward/relay.rs
@@ -35,7 +35,8 @@
 }
 
 impl Interruption {
-    fn cause(self) -> &'static str {
+    /// Returns the cause for the log.
+    pub fn cause(self) -> &'static str {
         match self {
             Self::UpstreamLate => "deadline passed before the end of the response",
             Self::CallerSlow => "deadline passed before the caller had read the response",
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -99,10 +99,10 @@
         ForwardResponse::relayed(head, relay)
     }
 
-    /// Ends the open call, which failed; `is_broken` tells whether the engine broke it off.
-    fn end_failed_call(&mut self, is_broken: bool) {
+    /// Ends the open call, which failed for `cause`; `is_broken` tells whether the engine broke it off.
+    fn end_failed_call(&mut self, cause: &str, is_broken: bool) {
         if let Some(OpenCall { attempt, .. }) = self.open_call.take() {
-            attempt.report_crash(self.generation.call());
+            attempt.report_crash(self.generation.call(), cause);
             if is_broken && !self.has_first_event {
                 attempt.report_crashing_parts(self.generation.call());
             }
@@ -279,7 +279,7 @@
                 }
             };
             // The connection closes here, so that no two engines work on the request at once while the next one is asked.
-            self.end_failed_call(is_broken);
+            self.end_failed_call(&cause, is_broken);
             if !self.resume(&cause, record).await {
                 return RelayStep::Cut(cause);
             }
@@ -288,7 +288,7 @@
 
     fn interrupt(&mut self, interruption: Interruption) {
         match interruption {
-            Interruption::UpstreamLate => self.end_failed_call(false),
+            Interruption::UpstreamLate => self.end_failed_call(interruption.cause(), false),
             // Says nothing of the engine.
             Interruption::CallerSlow | Interruption::HostStops => self.open_call = None,
         }
