Count only connections that break as crashes

Callers were refused for an hour (503, "equal requests crashed their upstreams") after two equal requests had met an answer to another request, one without a signature, an event without end, or a pause of 1.5 s in their streams, as after a preemption.

Cause: `SendFailure::Broken` stood for both a connection that broke and a response that is invalid, and a stream that stalled, was too long or came too late was reported as a crash as well. A crashed upstream sends nothing and breaks its connections, so none of these can be one.

`SendFailure::Invalid` now stands for what arrived and is no response. Only broken connections are reported, on the calls and on the streams.

Evidence: `crash_evidence::invalid_answers_are_no_crashes` and `stalled_streams_are_no_crashes` failed before (503 to the request after them, with Retry-After 10.170 and 11.891) and pass now.

The tests of endless heads and interim responses named the kind `Broken`; they name `Invalid` now, which is what they are about.

--- a/src/connection/forward/upstream_pool.rs
+++ b/src/connection/forward/upstream_pool.rs
@@ -189,6 +189,9 @@
         Ok(Err(SendError::Broken { cause })) => {
             ExchangeResult::Failed(SendFailure::Broken { cause })
         }
+        Ok(Err(SendError::Invalid { cause })) => {
+            ExchangeResult::Failed(SendFailure::Invalid { cause })
+        }
         Err(_) => ExchangeResult::Failed(SendFailure::Timeout),
     }
 }
--- a/src/connection/http_client.rs
+++ b/src/connection/http_client.rs
@@ -66,7 +66,11 @@
                 body,
                 _connection: connection,
             })),
-            Ok(Err(SendError::Broken { cause } | SendError::Unsent { cause, .. })) => {
+            Ok(Err(
+                SendError::Broken { cause }
+                | SendError::Invalid { cause }
+                | SendError::Unsent { cause, .. },
+            )) => {
                 let broken = UpstreamErrorKind::Broken;
                 Err(UpstreamError::may_have_run(broken, cause))
             }
@@ -174,8 +178,13 @@
         /// The error of the HTTP library.
         cause: String,
     },
-    /// The connection broke, or what arrived is no response.
+    /// The connection broke before a response had arrived.
     Broken {
+        /// The error of the HTTP library.
+        cause: String,
+    },
+    /// What arrived is no response.
+    Invalid {
         /// The error of the HTTP library, or what is wrong with the response.
         cause: String,
     },
@@ -206,12 +215,13 @@
                     req: Box::new(req),
                     cause,
                 },
+                None if e.error().is_parse() => SendError::Invalid { cause },
                 None => SendError::Broken { cause },
             }
         }),
         () = is_flooded.notified() => {
             let cause = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
-            Err(SendError::Broken { cause })
+            Err(SendError::Invalid { cause })
         }
     }
 }
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -71,8 +71,9 @@
         Self::Rejected { cause, outcome }
     }
 
-    fn broken(cause: impl Into<String>) -> Self {
-        Self::Send(SendFailure::Broken {
+    /// Creates the failure of a call whose upstream sent something that is no valid response to it.
+    pub fn invalid(cause: impl Into<String>) -> Self {
+        Self::Send(SendFailure::Invalid {
             cause: cause.into(),
         })
     }
@@ -322,10 +323,10 @@
         // On a kept connection, what arrives first may be a copy of an earlier answer. Even a refusal then says nothing of this call.
         let request_id = response_head.request_id.as_deref();
         if request_id.is_some_and(|id| *id != *call.head.id) {
-            return Err(AttemptFailure::broken("answer to another request"));
+            return Err(AttemptFailure::invalid("answer to another request"));
         }
         if request_id.is_none() && (expects_signature || response_head.not_run) {
-            return Err(AttemptFailure::broken("answer without a request id"));
+            return Err(AttemptFailure::invalid("answer without a request id"));
         }
         if response_head.not_run {
             return Err(AttemptFailure::from_refusal(cx, &self.instance, &head));
@@ -334,7 +335,7 @@
         let promises_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
         let is_unsigned = expects_signature && !response_head.is_signed;
         if promises_not_run || is_unsigned || status.is_informational() {
-            return Err(AttemptFailure::broken(format!(
+            return Err(AttemptFailure::invalid(format!(
                 "status {status}, signed={}",
                 response_head.is_signed
             )));
--- a/src/request/forward/generation/prefill.rs
+++ b/src/request/forward/generation/prefill.rs
@@ -15,7 +15,7 @@
 use crate::request::forward::generation::Generation;
 use crate::request::forward::generation::reservation::release;
 use crate::request::forward::record::ForwardRecord;
-use crate::request::forward::transport::{SendFailure, read_whole};
+use crate::request::forward::transport::read_whole;
 
 /// The largest accepted response to a prefill.
 const MAX_PREFILL_RESPONSE_BYTES: usize = 64 << 10;
@@ -142,7 +142,7 @@
             }
             Err(cause) => {
                 attempt.end(CallOutcome::Failed);
-                Err(AttemptFailure::Send(SendFailure::Broken { cause }))
+                Err(AttemptFailure::invalid(cause))
             }
         }
     }
--- a/src/request/forward/generation/reservation.rs
+++ b/src/request/forward/generation/reservation.rs
@@ -147,11 +147,13 @@
         return Err(AttemptFailure::from_refusal(cx, engine, &head));
     }
     let read = read_whole(&mut body, MAX_RESERVATION_RESPONSE_BYTES);
-    let broken = |cause: String| AttemptFailure::Send(SendFailure::Broken { cause });
     let name = match tokio::time::timeout_at(limits.deadline.into(), read).await {
-        Ok(Ok(Some(bytes))) => cx.codec.read_reservation(&bytes).map_err(broken)?,
-        Ok(Ok(None)) => return Err(broken("response too long".to_owned())),
-        Ok(Err(e)) => return Err(broken(e.to_string())),
+        Ok(Ok(Some(bytes))) => cx
+            .codec
+            .read_reservation(&bytes)
+            .map_err(AttemptFailure::invalid)?,
+        Ok(Ok(None)) => return Err(AttemptFailure::invalid("response too long")),
+        Ok(Err(e)) => return Err(AttemptFailure::invalid(e.to_string())),
         Err(_) => return Err(AttemptFailure::Send(SendFailure::Timeout)),
     };
     cx.state.loads.record_contact(engine, cx.clock.now());
--- a/src/request/forward/response.rs
+++ b/src/request/forward/response.rs
@@ -68,7 +68,6 @@
             deadline.min(cx.clock.now() + cx.settings.stall_timeout)
         };
         let read = read_whole(&mut body, MAX_HELD_BYTES);
-        let broken = |cause: String| SendFailure::Broken { cause };
         let failure = match tokio::time::timeout_at(deadline.into(), read).await {
             Ok(Ok(Some(bytes))) => {
                 on_whole(&attempt);
@@ -76,10 +75,12 @@
                 let body = ForwardBody::Whole(bytes);
                 return Ok(Self { head, body });
             }
-            Ok(Ok(None)) => broken(format!(
-                "answer of unknown length above {MAX_HELD_BYTES} bytes"
-            )),
-            Ok(Err(e)) => broken(format!("answer broke off: {e}")),
+            Ok(Ok(None)) => SendFailure::Invalid {
+                cause: format!("answer of unknown length above {MAX_HELD_BYTES} bytes"),
+            },
+            Ok(Err(e)) => SendFailure::Broken {
+                cause: format!("answer broke off: {e}"),
+            },
             Err(_) => SendFailure::Timeout,
         };
         attempt.end(CallOutcome::Failed);
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -102,9 +102,11 @@
     /// Ends the open call, which failed for `cause`; `is_broken` tells whether the engine broke it off.
     fn end_failed_call(&mut self, cause: &str, is_broken: bool) {
         if let Some(OpenCall { attempt, .. }) = self.open_call.take() {
-            attempt.report_crash(self.generation.call(), cause);
-            if is_broken && !self.has_first_event {
-                attempt.report_crashing_parts(self.generation.call());
+            if is_broken {
+                attempt.report_crash(self.generation.call(), cause);
+                if !self.has_first_event {
+                    attempt.report_crashing_parts(self.generation.call());
+                }
             }
             attempt.end(CallOutcome::Failed);
         }
--- a/src/request/forward/transport.rs
+++ b/src/request/forward/transport.rs
@@ -38,9 +38,14 @@
         /// The error of connecting, or of a connection that closed before the call was sent.
         cause: String,
     },
-    /// The connection broke, or the response is invalid.
+    /// The connection broke before the whole response had arrived, as it does if the upstream crashes.
     Broken {
-        /// The I/O error, or what is wrong with the response.
+        /// The I/O error.
+        cause: String,
+    },
+    /// The upstream sent something that is no valid response to the call.
+    Invalid {
+        /// What is wrong with it.
         cause: String,
     },
     /// No response arrived before the deadline.
@@ -52,7 +57,7 @@
     pub fn run(&self) -> Run {
         match self {
             Self::Unreachable { .. } => Run::NotRun,
-            Self::Broken { .. } | Self::Timeout => Run::Unknown,
+            Self::Broken { .. } | Self::Invalid { .. } | Self::Timeout => Run::Unknown,
         }
     }
 }
@@ -62,6 +67,7 @@
         match self {
             Self::Unreachable { cause } => write!(f, "upstream not reached ({cause})"),
             Self::Broken { cause } => write!(f, "connection to the upstream broke ({cause})"),
+            Self::Invalid { cause } => write!(f, "upstream sent no valid response ({cause})"),
             Self::Timeout => f.write_str("upstream did not answer in time"),
         }
     }
--- a/tests/suite/forward_endless.rs
+++ b/tests/suite/forward_endless.rs
@@ -147,7 +147,7 @@
     };
     let req = Request::get("/").body(Full::default()).expect("request");
     let sent = transport.send(address, req, limits).await;
-    assert!(matches!(sent, Err(SendFailure::Broken { .. })));
+    assert!(matches!(sent, Err(SendFailure::Invalid { .. })));
     // What the kernel buffers comes on top of what the host reads.
     let written = server.await.expect("server ends");
     assert!(written < 16 << 20, "{written}");
@@ -188,7 +188,7 @@
         match sent {
             Ok(_) => assert!(is_answered),
             Err(e) => assert!(
-                !is_answered && matches!(e, SendFailure::Broken { .. }),
+                !is_answered && matches!(e, SendFailure::Invalid { .. }),
                 "{e}"
             ),
         }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod cold_start;
 mod config_command;
 mod config_fleet;
+mod crash_evidence;
 mod crashing_parts;
 mod distribution;
 mod document;
