Let a request that ran to its end refute the crashes before it

Callers were refused equal lookups for an hour after two answers had been lost, although each of these lookups was repeated at another upstream and served within milliseconds.

Cause: two tables with two rules. `PartTable` takes a request that was sent after a crash and ran to its end as proof that its parts did not cause it; `CrashTable` counted crashes only. It also forgot reports that it had taken for the same crash, so that a repeat more than 2 s later counted as a second one.

Each end of a successful answer (held, passed on, streamed) dismisses the crashes before the call was sent, for the request and for its parts, and a line names them. A request that crashes each upstream never ends well, so it stays refused.

`receive` takes the call in place of its deadline.

--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -1,5 +1,6 @@
 //! The state that a forwarding host shares between its requests and tasks, each part under its own lock.
 
+mod crashes;
 mod evacuations;
 
 use std::collections::HashSet;
@@ -425,16 +426,6 @@
         lock(&self.peers)
     }
 
-    /// Returns whether requests with this fingerprint have crashed too many upstreams to run again.
-    pub fn is_quarantined(&self, fingerprint: &Digest, now: Instant) -> bool {
-        lock(&self.crashes).is_quarantined(fingerprint, now)
-    }
-
-    /// Returns the upstreams that crashed on requests with this fingerprint, for the log.
-    pub fn crashed_upstreams(&self, fingerprint: &Digest) -> Vec<UpstreamId> {
-        lock(&self.crashes).crashed_upstreams(fingerprint)
-    }
-
     /// Takes one retry from this host's budget and counts it under `cause`; returns whether the budget had one left.
     pub fn take_retry(&self, service: &ModelId, cause: &'static str, now: Instant) -> bool {
         let hosts = self.peers().host_count();
@@ -445,63 +436,6 @@
         taken
     }
 
-    /// Records that an upstream broke off while it ran a request, as found within `reach`, and reports it to others. The report
-    /// names the fingerprint of the request or of a part of its prompt, which are never equal.
-    pub fn record_crash(&self, report: &CrashReport, reach: Reach, now: Instant) {
-        lock(&self.crashes).record(report, now);
-        let is_suspected = lock(&self.part_crashes).record_crash(report, now);
-        if is_suspected && reach == Reach::Host {
-            self.record_part_change(report.fingerprint);
-        }
-        lock(&self.crash_reports).add(report.clone(), reach, now);
-    }
-
-    /// Records that an upstream ran a request whose prompt has these parts, sent at `sent_at`, to its end.
-    pub fn record_sound_parts(&self, parts: &[Digest], sent_at: Instant, now: Instant) {
-        for part in parts {
-            let is_cleared = lock(&self.part_crashes).record_sound(part, sent_at, now);
-            if is_cleared {
-                self.record_part_change(*part);
-            }
-        }
-    }
-
-    /// Returns the part of a prompt with `parts` that crashes upstreams.
-    pub fn crashing_part(&self, parts: &[Digest], now: Instant) -> Option<Digest> {
-        lock(&self.part_crashes).refused_part(parts, now)
-    }
-
-    /// Returns the crashes of a part as far as they count, to store them; empty unless the part is suspected.
-    pub fn part_crashes(&self, part: &Digest, now: Instant) -> Vec<(RequestId, UpstreamId)> {
-        lock(&self.part_crashes).crashes_of(part, now)
-    }
-
-    /// Adds a part that was suspected before this host started.
-    pub fn restore_part(&self, part: Digest, crashes: &[(RequestId, UpstreamId)], now: Instant) {
-        lock(&self.part_crashes).restore(part, crashes, now);
-    }
-
-    fn record_part_change(&self, part: Digest) {
-        lock(&self.part_changes).push(part);
-        self.parts_changed.notify_one();
-    }
-
-    /// Waits until this host finds that the suspicion of parts begins or ends, and returns these parts.
-    pub async fn next_part_changes(&self) -> Vec<Digest> {
-        loop {
-            let changes = std::mem::take(&mut *lock(&self.part_changes));
-            if !changes.is_empty() {
-                return changes;
-            }
-            self.parts_changed.notified().await;
-        }
-    }
-
-    /// Returns the crashes recently found within `reach`, to report them.
-    pub fn recent_crashes(&self, reach: Reach, now: Instant) -> Vec<CrashReport> {
-        lock(&self.crash_reports).within(reach, now)
-    }
-
     /// Sets the time until which this host may not know yet whether the fleet has relays.
     pub fn set_starts_until(&self, end: Option<Instant>) {
         self.starts_until.send_replace(end);
--- /dev/null
+++ b/src/process/forwarding/fleet/crashes.rs
@@ -0,0 +1,109 @@
+//! The crashes that are held against requests and parts of prompts.
+
+use std::time::Instant;
+
+use super::FleetState;
+use crate::prelude::*;
+use crate::process::forwarding::source::Reach;
+use crate::process::message::CrashReport;
+use crate::process::quarantine::{Dismissal, short_digits};
+use crate::process::shard::lock;
+
+impl FleetState {
+    /// Returns whether requests with this fingerprint have crashed too many upstreams to run again.
+    pub fn is_quarantined(&self, fingerprint: &Digest, now: Instant) -> bool {
+        lock(&self.crashes).is_quarantined(fingerprint, now)
+    }
+
+    /// Returns the upstreams that crashed on requests with this fingerprint, for the log.
+    pub fn crashed_upstreams(&self, fingerprint: &Digest, now: Instant) -> Vec<UpstreamId> {
+        lock(&self.crashes).crashed_upstreams(fingerprint, now)
+    }
+
+    /// Records that an upstream broke off while it ran a request, as found within `reach`, and reports it to others. The report
+    /// names the fingerprint of the request or of a part of its prompt, which are never equal.
+    pub fn record_crash(&self, report: &CrashReport, reach: Reach, now: Instant) {
+        lock(&self.crashes).record(report, now);
+        let is_suspected = lock(&self.part_crashes).record_crash(report, now);
+        if is_suspected && reach == Reach::Host {
+            self.record_part_change(report.fingerprint);
+        }
+        lock(&self.crash_reports).add(report.clone(), reach, now);
+    }
+
+    /// Records that an upstream ran a request, which was sent at `sent_at`, to its end. The fingerprints are those of the request
+    /// and of the parts of its prompt.
+    pub fn record_sound(&self, fingerprints: &[Digest], sent_at: Instant, now: Instant) {
+        for fingerprint in fingerprints {
+            let of_request = lock(&self.crashes).record_sound(fingerprint, sent_at, now);
+            let of_part = lock(&self.part_crashes).record_sound(fingerprint, sent_at, now);
+            let seen = "a request sent since ran to its end";
+            self.follow_dismissal(fingerprint, &of_request, &of_part, seen);
+        }
+    }
+
+    /// Logs which crashes no longer count, as a request and as a part of a prompt, and what was seen.
+    fn follow_dismissal(
+        &self,
+        fingerprint: &Digest,
+        of_request: &Dismissal,
+        of_part: &Dismissal,
+        seen: &str,
+    ) {
+        if of_part.ends_suspicion {
+            self.record_part_change(*fingerprint);
+        }
+        let mut crashes = of_request.crashes.clone();
+        for crash in &of_part.crashes {
+            if !crashes.iter().any(|known| known.request == crash.request) {
+                crashes.push(crash.clone());
+            }
+        }
+        if crashes.is_empty() {
+            return;
+        }
+        let upstreams: Vec<_> = crashes.iter().map(|crash| &*crash.upstream).collect();
+        log::info!(
+            target: "quarantine",
+            "crashes no longer count: fingerprint={} upstreams={}: {seen}",
+            short_digits(fingerprint),
+            upstreams.join(","),
+        );
+    }
+
+    /// Returns the part of a prompt with `parts` that crashes upstreams.
+    pub fn crashing_part(&self, parts: &[Digest], now: Instant) -> Option<Digest> {
+        lock(&self.part_crashes).refused_part(parts, now)
+    }
+
+    /// Returns the crashes of a part as far as they count, to store them; empty unless the part is suspected.
+    pub fn part_crashes(&self, part: &Digest, now: Instant) -> Vec<(RequestId, UpstreamId)> {
+        lock(&self.part_crashes).crashes_of(part, now)
+    }
+
+    /// Adds a part that was suspected before this host started.
+    pub fn restore_part(&self, part: Digest, crashes: &[(RequestId, UpstreamId)], now: Instant) {
+        lock(&self.part_crashes).restore(part, crashes, now);
+    }
+
+    fn record_part_change(&self, part: Digest) {
+        lock(&self.part_changes).push(part);
+        self.parts_changed.notify_one();
+    }
+
+    /// Waits until this host finds that the suspicion of parts begins or ends, and returns these parts.
+    pub async fn next_part_changes(&self) -> Vec<Digest> {
+        loop {
+            let changes = std::mem::take(&mut *lock(&self.part_changes));
+            if !changes.is_empty() {
+                return changes;
+            }
+            self.parts_changed.notified().await;
+        }
+    }
+
+    /// Returns the crashes recently found within `reach`, to report them.
+    pub fn recent_crashes(&self, reach: Reach, now: Instant) -> Vec<CrashReport> {
+        lock(&self.crash_reports).within(reach, now)
+    }
+}
--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -2,6 +2,8 @@
 
 mod crash_quarantine;
 mod crash_table;
+mod evidence;
+mod evidence_table;
 mod part_table;
 
 use std::net::SocketAddr;
@@ -13,7 +15,9 @@
 use crate::process::message::CrashReport;
 
 pub use crash_quarantine::CrashQuarantine;
-pub use crash_table::{CrashTable, FINGERPRINT_TTL, MAX_CRASHES, SAME_CRASH_WINDOW};
+pub use crash_table::{CrashTable, FINGERPRINT_TTL, MAX_CRASHES};
+pub use evidence::SAME_CRASH_WINDOW;
+pub use evidence_table::Dismissal;
 pub use part_table::{COMMON_CAUSE_WINDOW, MIN_PART_CRASHES, PART_TTL, PartTable};
 
 /// Decides whether a request may run, by the crashes that it has caused.
--- /dev/null
+++ b/src/process/quarantine/evidence.rs
@@ -0,0 +1,128 @@
+//! The crashes of upstreams that are held against the requests with one fingerprint. Does no I/O and reads no clock.
+
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+use crate::prelude::*;
+use crate::process::message::CrashReport;
+
+/// How long reports of one upstream from different requests count as the same crash: if the same body was sent several
+/// times at once, one crash interrupts all of these requests.
+pub const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
+
+/// The crashes kept for each fingerprint: enough to tell the parts of the same requests apart.
+const MAX_KEPT_CRASHES: usize = 8;
+
+/// A crash of an upstream while it ran a request.
+#[derive(Debug, Clone)]
+pub struct Crash {
+    /// The request that the upstream was running.
+    pub request: RequestId,
+    /// The attempt that it was running.
+    pub attempt: AttemptNo,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// When this host learned of it.
+    pub at: Instant,
+    /// Whether something seen since shows that the request did not cause it.
+    is_dismissed: bool,
+}
+
+impl Crash {
+    /// Creates a crash that this host learns of now.
+    pub fn new(report: &CrashReport, now: Instant) -> Self {
+        Self {
+            request: report.request,
+            attempt: report.attempt,
+            upstream: report.upstream.clone(),
+            at: now,
+            is_dismissed: false,
+        }
+    }
+
+    fn is_of(&self, report: &CrashReport) -> bool {
+        self.request == report.request && self.attempt == report.attempt
+    }
+
+    /// Returns whether one end of an upstream, or one disruption of several, is the cause of both this crash and an earlier one.
+    fn has_common_cause(&self, earlier: &Self, common_cause_window: Duration) -> bool {
+        let elapsed = self.at.saturating_duration_since(earlier.at);
+        let is_same_upstream = self.upstream == earlier.upstream
+            && self.request != earlier.request
+            && elapsed < SAME_CRASH_WINDOW;
+        is_same_upstream || elapsed < common_cause_window
+    }
+}
+
+/// The crashes held against one fingerprint, oldest first.
+#[derive(Debug)]
+pub struct Evidence {
+    crashes: SmallVec<[Crash; 2]>,
+    /// When a crash was last reported.
+    last_reported: Instant,
+}
+
+impl Evidence {
+    /// Creates evidence without a crash.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            crashes: SmallVec::new(),
+            last_reported: now,
+        }
+    }
+
+    /// Adds a reported crash, unless it is known.
+    pub fn record(&mut self, report: &CrashReport, now: Instant) {
+        self.last_reported = now;
+        if self.crashes.iter().any(|crash| crash.is_of(report)) {
+            return;
+        }
+        if self.crashes.len() == MAX_KEPT_CRASHES {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(Crash::new(report, now));
+    }
+
+    /// Replaces the crashes by those that a host stored, oldest first.
+    pub fn restore(&mut self, crashes: impl IntoIterator<Item = Crash>) {
+        self.crashes = crashes.into_iter().take(MAX_KEPT_CRASHES).collect();
+    }
+
+    /// Dismisses the crashes that are disproved, and returns them.
+    pub fn dismiss(&mut self, is_disproved: impl Fn(&Crash) -> bool) -> SmallVec<[Crash; 2]> {
+        let counting = self.crashes.iter_mut().filter(|crash| !crash.is_dismissed);
+        let disproved = counting.filter(|crash| is_disproved(crash));
+        disproved
+            .map(|crash| {
+                crash.is_dismissed = true;
+                crash.clone()
+            })
+            .collect()
+    }
+
+    /// Returns the crashes that count.
+    pub fn counting(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|crash| !crash.is_dismissed)
+    }
+
+    /// Returns when a crash was last reported.
+    pub fn last_reported(&self) -> Instant {
+        self.last_reported
+    }
+}
+
+/// Counts crashes, oldest first, without those that have a cause in common with one before.
+pub fn count_events<'a>(
+    crashes: impl Iterator<Item = &'a Crash>,
+    common_cause_window: Duration,
+) -> usize {
+    let mut counted: SmallVec<[&Crash; MAX_KEPT_CRASHES]> = SmallVec::new();
+    for crash in crashes {
+        let mut earlier = counted.iter();
+        if !earlier.any(|earlier| crash.has_common_cause(earlier, common_cause_window)) {
+            counted.push(crash);
+        }
+    }
+    counted.len()
+}
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -379,6 +379,13 @@
         self.report_crash_of(call, [fingerprint]);
     }
 
+    /// Records that the upstream ran the request with these fingerprints to its end.
+    pub fn record_sound(&self, fingerprints: &[Digest]) {
+        let now = self.cx.clock.now();
+        let state = &self.cx.state;
+        state.record_sound(fingerprints, self.sent_at, now);
+    }
+
     /// Records that the upstream may have crashed on a part of the prompt, and reports it to other hosts. Only a request that has
     /// got no event can have caused the crash: an engine crashes as it begins to write the answer.
     pub fn report_crashing_parts(&self, call: &Call) {
--- a/src/request/forward/call.rs
+++ b/src/request/forward/call.rs
@@ -103,6 +103,13 @@
         parts.map(|part| part_fingerprint(model, part)).collect()
     }
 
+    /// Returns the hashes under which crashes count against the request: its own and those of the parts of its prompt.
+    pub fn fingerprints(&self) -> SmallVec<[Digest; 4]> {
+        let mut fingerprints = self.part_fingerprints();
+        fingerprints.push(self.fingerprint());
+        fingerprints
+    }
+
     /// Returns the regions to which the request is confined by its route, its customer or both; `None` for all.
     pub fn homes(&self) -> Option<Homes> {
         let customer = self.customer.as_ref();
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -228,7 +228,7 @@
     let fingerprint = call.fingerprint();
     let (message, figures) = if cx.state.is_quarantined(&fingerprint, now) {
         let message = "equal requests crashed their upstreams; don't repeat it";
-        let upstreams = cx.state.crashed_upstreams(&fingerprint).join(",");
+        let upstreams = cx.state.crashed_upstreams(&fingerprint, now).join(",");
         let fingerprint = short_digits(&fingerprint);
         (
             message,
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -109,8 +109,7 @@
                 return Ok(EventRelay::relay(generation, attempt, response));
             }
             Ok((response, attempt)) => {
-                let deadline = call.deadline;
-                match ForwardResponse::receive(cx, attempt, response, deadline, |_| {}).await {
+                match ForwardResponse::receive(cx, call, attempt, response, |_| {}).await {
                     Ok(response) => return Ok(response),
                     Err(failure) => DecodeFailure::Attempt(failure),
                 }
@@ -183,7 +182,6 @@
         state
             .stage_load
             .record_generation(&self.service, self.final_kv_tokens(), occupied, now);
-        state.record_sound_parts(&self.call.part_fingerprints(), sent_at, now);
     }
 
     /// Returns whether another decode call may be made before the deadline without repeating a request that must run once.
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -252,8 +252,7 @@
             deadline,
         };
         let response = attempt.send(self.call, options).await?;
-        let deadline = self.call.deadline;
         let record_duration = |attempt: &Attempt| attempt.record_duration(1.0);
-        ForwardResponse::receive(self.cx, attempt, response, deadline, record_duration).await
+        ForwardResponse::receive(self.cx, self.call, attempt, response, record_duration).await
     }
 }
--- a/src/request/forward/response.rs
+++ b/src/request/forward/response.rs
@@ -8,9 +8,12 @@
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode, response};
 use http_body_util::BodyExt;
+use smallvec::SmallVec;
 
+use crate::prelude::*;
 use crate::process::forwarding::load::CallOutcome;
 use crate::request::forward::attempt::{Attempt, AttemptFailure};
+use crate::request::forward::call::Call;
 use crate::request::forward::flow::ForwardContext;
 use crate::request::forward::record::{ForwardRecord, Outcome};
 use crate::request::forward::relay::{Interruption, RelayStep, ResponseSource, relay};
@@ -41,36 +44,46 @@
         Self { head, body }
     }
 
-    /// Receives the response to `attempt`: a short one until it is whole, of a longer one the head. `on_whole` gets the attempt of one
-    /// that is whole.
+    /// Receives the response to `attempt` of `call`: a short one until it is whole, of a longer one the head. `on_whole` gets the
+    /// attempt of one that is whole.
     ///
     /// # Errors
     /// Returns an `AttemptFailure`, which has been counted in the upstream's health, if a short response breaks off, has no end or isn't
-    /// whole by `deadline`; an error response within the time after which a stream counts as stalled, because no more can come of it.
+    /// whole by the deadline of the call; an error response within the time after which a stream counts as stalled, because no more can come of it.
     pub async fn receive(
         cx: &ForwardContext,
+        call: &Call,
         attempt: Attempt,
         response: Response<UpstreamBody>,
-        deadline: Instant,
         on_whole: impl FnOnce(&Attempt),
     ) -> Result<Self, AttemptFailure> {
         let (head, mut body) = response.into_parts();
+        let is_success = head.status.is_success();
         if stated_length(&head).is_some_and(|length| length > MAX_HELD_BYTES) {
             let source = CallBody {
                 attempt: Some(attempt),
+                fingerprints: if is_success {
+                    call.fingerprints()
+                } else {
+                    SmallVec::new()
+                },
                 body,
             };
             return Ok(Self::relayed(head, source));
         }
-        let deadline = if head.status.is_success() {
-            deadline
+        let deadline = if is_success {
+            call.deadline
         } else {
-            deadline.min(cx.clock.now() + cx.settings.stall_timeout)
+            let latest = cx.clock.now() + cx.settings.stall_timeout;
+            call.deadline.min(latest)
         };
         let read = read_whole(&mut body, MAX_HELD_BYTES);
         let failure = match tokio::time::timeout_at(deadline.into(), read).await {
             Ok(Ok(Some(bytes))) => {
                 on_whole(&attempt);
+                if is_success {
+                    attempt.record_sound(&call.fingerprints());
+                }
                 attempt.end(CallOutcome::Answered);
                 let body = ForwardBody::Whole(bytes);
                 return Ok(Self { head, body });
@@ -126,6 +139,8 @@
 struct CallBody {
     /// `None` after the end of the call.
     attempt: Option<Attempt>,
+    /// The fingerprints of the request that has run if the body ends; empty if its answer is an error.
+    fingerprints: SmallVec<[Digest; 4]>,
     body: UpstreamBody,
 }
 
@@ -153,6 +168,9 @@
                     return RelayStep::Cut(format!("answer broke off: {e}"));
                 }
                 None => {
+                    if let Some(attempt) = &self.attempt {
+                        attempt.record_sound(&self.fingerprints);
+                    }
                     self.end(CallOutcome::Answered);
                     return RelayStep::End;
                 }
--- a/src/request/forward/stream.rs
+++ b/src/request/forward/stream.rs
@@ -258,6 +258,8 @@
                 Ok(None) if self.is_whole() => {
                     if let Some(call) = self.open_call.take() {
                         self.generation.record_end(call.attempt.sent_at);
+                        let fingerprints = self.generation.call().fingerprints();
+                        call.attempt.record_sound(&fingerprints);
                         call.attempt.end(CallOutcome::Answered);
                     }
                     return RelayStep::End;
--- a/tests/suite/crash_evidence.rs
+++ b/tests/suite/crash_evidence.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use hibiscusspread::process::quarantine::SAME_CRASH_WINDOW;
+
 use crate::platform_stand_in::{Answer, Behaviour, Platform};
 
 /// Sets the behaviour of all upstreams whose ids begin with `prefix`.
@@ -53,3 +55,19 @@
     let answer = platform.call("POST", "/long/1").await;
     assert!(is_served(&answer), "{answer:?}");
 }
+
+/// Guards against the refusal of equal requests after two lost answers although each of them was served by another upstream.
+#[tokio::test]
+async fn requests_that_ran_since_refute_crashes() {
+    for (prefix, path) in [("s", "/read/1"), ("d", "/long/1")] {
+        let platform = Platform::start().await;
+        set_behaviour(&platform, prefix, Behaviour::LoseFirstAnswer);
+        for _ in 0..3 {
+            let answer = platform.call("POST", path).await;
+            assert!(is_served(&answer), "{path}: {answer:?}");
+            // Longer than broken connections of one upstream count as one crash.
+            tokio::time::sleep(SAME_CRASH_WINDOW).await;
+        }
+        assert_eq!(platform.seen_by(prefix).len(), 6, "{path}");
+    }
+}
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -166,6 +166,8 @@
     StaleRefusal,
     /// It runs them and closes the connection without a response.
     LoseAnswer,
+    /// It runs them, and closes the connection without a response if no upstream received the request before.
+    LoseFirstAnswer,
     /// It answers with the id of another request.
     OtherId,
     /// It answers without a signature.
@@ -564,6 +566,7 @@
             Some(response)
         };
         let is_resumed = req.headers().contains_key("last-event-id");
+        let is_first = self.is_first_call(req);
         match behaviour {
             Behaviour::Shed => return status(503, Some(("x-not-run", "1"))),
             Behaviour::ShedForSeconds => {
@@ -584,6 +587,7 @@
             }
             Behaviour::OtherInstance => return status(421, Some(("x-instance-id", "i-other"))),
             Behaviour::LoseAnswer => return None,
+            Behaviour::LoseFirstAnswer if is_first => return None,
             Behaviour::Slow => tokio::time::sleep(SLOW).await,
             Behaviour::Delayed => tokio::time::sleep(DELAY).await,
             Behaviour::Hang => std::future::pending().await,
@@ -606,6 +610,15 @@
         Some(self.run(req, behaviour))
     }
 
+    /// Returns whether no upstream received a call of this request before that may have run.
+    fn is_first_call(&self, req: &BufferedRequest) -> bool {
+        let id = req.headers().get("x-request-id");
+        let seen = lock(&self.seen);
+        let calls = seen.iter().filter(|seen| seen.may_have_run);
+        let calls = calls.filter(|seen| seen.headers.get("x-request-id") == id);
+        calls.count() <= 1
+    }
+
     /// Returns the response to a request that the upstream runs.
     fn run(&self, req: &BufferedRequest, behaviour: Behaviour) -> Response<Body> {
         match behaviour {
