Tell other hosts which crashes no longer count

Callers whose requests reach one host were served while other hosts refused equal ones for an hour.

Cause: crashes are reported to all hosts, and what refutes them was not. A host that gets few of these requests heard of crashes only; each host counted all crashes of the fleet and its own successes.

Each host dismisses them once, ignores late reports of them and stops repeating its own. A crash is identified by its request, so a repeated dismissal can't hide a later crash of the same upstream. Reports of a crash are applied before the sections.

`RecentNews` finds known pieces by their hash: it compared each reported crash with all known ones.

--- a/src/connection/forward/reports.rs
+++ b/src/connection/forward/reports.rs
@@ -19,6 +19,7 @@
 use crate::process::forwarding::report_sections::ReportSection;
 use crate::process::forwarding::stage_load::StageSums;
 use crate::process::forwarding::usage::QueuedTokens;
+use crate::process::message::CrashId;
 use crate::process::metrics;
 
 /// The largest report, in bytes; a UDP datagram carries somewhat more.
@@ -37,6 +38,7 @@
 const STAGE_LOAD: u8 = 6;
 const STAGE_CHANGES: u8 = 7;
 const QUEUED_TOKENS: u8 = 8;
+const DISMISSED_CRASHES: u8 = 9;
 
 /// Encodes a report and its sections. Sections that would make it too large are left out, those with the highest numbers first.
 ///
@@ -104,6 +106,9 @@
         ReportSection::StageLoad(sums) => Ok((STAGE_LOAD, codec::encode(sums)?)),
         ReportSection::StageChanges(changes) => Ok((STAGE_CHANGES, codec::encode(changes)?)),
         ReportSection::QueuedTokens(queued) => Ok((QUEUED_TOKENS, codec::encode(queued)?)),
+        ReportSection::DismissedCrashes(crashes) => {
+            Ok((DISMISSED_CRASHES, codec::encode(crashes)?))
+        }
     }
 }
 
@@ -121,6 +126,8 @@
             .map(ReportSection::StageChanges),
         QUEUED_TOKENS => codec::decode_exactly::<Vec<QueuedTokens>, MAX_SECTION_BYTES>(body)
             .map(ReportSection::QueuedTokens),
+        DISMISSED_CRASHES => codec::decode_exactly::<Vec<CrashId>, MAX_SECTION_BYTES>(body)
+            .map(ReportSection::DismissedCrashes),
         _ => return None,
     };
     Some(section)
--- a/src/process/forwarding/directory.rs
+++ b/src/process/forwarding/directory.rs
@@ -124,7 +124,7 @@
 const MAX_STAGE_CHANGES: usize = 256;
 
 /// An order to an engine to change its stage.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct OrderedStage {
     /// The engine.
     pub upstream: UpstreamId,
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -29,7 +29,7 @@
 use crate::process::forwarding::source::{Reach, Source};
 use crate::process::forwarding::stage_load::StageLoad;
 use crate::process::forwarding::usage::UsageTracker;
-use crate::process::message::CrashReport;
+use crate::process::message::{CrashId, CrashReport};
 use crate::process::metrics;
 use crate::process::quarantine::{CrashTable, PartTable};
 use crate::process::shard::lock;
@@ -91,6 +91,8 @@
     parts_changed: tokio::sync::Notify,
     /// The recent crashes, to report them.
     crash_reports: Mutex<RecentNews<CrashReport>>,
+    /// The crashes that were recently found not to count, to report them.
+    dismissed_crashes: Mutex<RecentNews<CrashId>>,
     /// Wakes the task that reads the list of upstreams, because other hosts' news of it is incomplete.
     list_incomplete: tokio::sync::Notify,
     /// Wakes the task that reads what operators write, because the relays may not reach the store.
@@ -130,6 +132,7 @@
             part_changes: Mutex::default(),
             parts_changed: tokio::sync::Notify::new(),
             crash_reports: Mutex::new(RecentNews::new(CRASH_REPORT_TTL)),
+            dismissed_crashes: Mutex::new(RecentNews::new(CRASH_REPORT_TTL)),
             list_incomplete: tokio::sync::Notify::new(),
             operator_read_requested: tokio::sync::Notify::new(),
             starts_until: watch::Sender::default(),
@@ -531,6 +534,10 @@
         if !stage_load.is_empty() {
             sections.push(ReportSection::StageLoad(stage_load));
         }
+        let dismissed = self.recently_dismissed(reach, now);
+        if !dismissed.is_empty() {
+            sections.push(ReportSection::DismissedCrashes(dismissed));
+        }
         let changing = self.change_directory(|d| d.changing(reach, now));
         if !changing.is_empty() {
             sections.push(ReportSection::StageChanges(changing));
@@ -550,6 +557,9 @@
         match section {
             ReportSection::StoreGeneration(_) => {}
             ReportSection::Evacuations(news) => self.apply_evacuation_news(news, now),
+            ReportSection::DismissedCrashes(crashes) => {
+                self.apply_dismissed(crashes, found, now);
+            }
             ReportSection::ColdEngines(reports) => self.apply_cold_reports(reports, found, now),
             ReportSection::StageChanges(changing) => {
                 for ordered in changing {
--- a/src/process/forwarding/fleet/crashes.rs
+++ b/src/process/forwarding/fleet/crashes.rs
@@ -2,13 +2,44 @@
 
 use std::time::Instant;
 
+use smallvec::SmallVec;
+
 use super::FleetState;
 use crate::prelude::*;
 use crate::process::forwarding::source::Reach;
-use crate::process::message::CrashReport;
+use crate::process::message::{CrashId, CrashReport};
 use crate::process::quarantine::{Dismissal, short_digits};
 use crate::process::shard::lock;
 
+/// The most dismissed crashes that a report tells; they fit into a datagram beside the rest of a report.
+const MAX_REPORTED_DISMISSALS: usize = 256;
+
+/// Logs which crashes no longer count, against a request or a part of a prompt, and what was seen. Returns their requests.
+fn log_dismissal(
+    fingerprint: &Digest,
+    of_request: &Dismissal,
+    of_part: &Dismissal,
+    seen: &str,
+) -> SmallVec<[RequestId; 2]> {
+    let mut requests = SmallVec::new();
+    let mut upstreams: SmallVec<[&str; 2]> = SmallVec::new();
+    for crash in of_request.crashes.iter().chain(&of_part.crashes) {
+        if !requests.contains(&crash.request) {
+            requests.push(crash.request);
+            upstreams.push(&crash.upstream);
+        }
+    }
+    if !requests.is_empty() {
+        log::info!(
+            target: "quarantine",
+            "crashes no longer count: fingerprint={} upstreams={}: {seen}",
+            short_digits(fingerprint),
+            upstreams.join(","),
+        );
+    }
+    requests
+}
+
 impl FleetState {
     /// Returns whether requests with this fingerprint have crashed too many upstreams to run again.
     pub fn is_quarantined(&self, fingerprint: &Digest, now: Instant) -> bool {
@@ -23,52 +54,64 @@
     /// Records that an upstream broke off while it ran a request, as found within `reach`, and reports it to others. The report
     /// names the fingerprint of the request or of a part of its prompt, which are never equal.
     pub fn record_crash(&self, report: &CrashReport, reach: Reach, now: Instant) {
+        lock(&self.crash_reports).add(report.clone(), reach, now);
+        if lock(&self.dismissed_crashes).contains(&report.id()) {
+            return;
+        }
         lock(&self.crashes).record(report, now);
         let is_suspected = lock(&self.part_crashes).record_crash(report, now);
         if is_suspected && reach == Reach::Host {
             self.record_part_change(report.fingerprint);
         }
-        lock(&self.crash_reports).add(report.clone(), reach, now);
     }
 
-    /// Records that an upstream ran a request, which was sent at `sent_at`, to its end. The fingerprints are those of the request
-    /// and of the parts of its prompt.
+    /// Records that an upstream ran a request, which was sent at `sent_at`, to its end, and reports to others which crashes that
+    /// disproves. The fingerprints are those of the request and of the parts of its prompt.
     pub fn record_sound(&self, fingerprints: &[Digest], sent_at: Instant, now: Instant) {
         for fingerprint in fingerprints {
             let of_request = lock(&self.crashes).record_sound(fingerprint, sent_at, now);
             let of_part = lock(&self.part_crashes).record_sound(fingerprint, sent_at, now);
             let seen = "a request sent since ran to its end";
-            self.follow_dismissal(fingerprint, &of_request, &of_part, seen);
+            let requests = log_dismissal(fingerprint, &of_request, &of_part, seen);
+            if of_part.ends_suspicion {
+                self.record_part_change(*fingerprint);
+            }
+            if requests.is_empty() {
+                continue;
+            }
+            let mut dismissed = lock(&self.dismissed_crashes);
+            for request in requests {
+                let fingerprint = *fingerprint;
+                let crash = CrashId {
+                    fingerprint,
+                    request,
+                };
+                dismissed.add(crash, Reach::Host, now);
+            }
+            drop(dismissed);
+            self.request_report();
         }
     }
 
-    /// Logs which crashes no longer count, as a request and as a part of a prompt, and what was seen.
-    fn follow_dismissal(
-        &self,
-        fingerprint: &Digest,
-        of_request: &Dismissal,
-        of_part: &Dismissal,
-        seen: &str,
-    ) {
-        if of_part.ends_suspicion {
-            self.record_part_change(*fingerprint);
-        }
-        let mut crashes = of_request.crashes.clone();
-        for crash in &of_part.crashes {
-            if !crashes.iter().any(|known| known.request == crash.request) {
-                crashes.push(crash.clone());
+    /// Dismisses crashes that other hosts within `found` found not to count.
+    pub(super) fn apply_dismissed(&self, crashes: &[CrashId], found: Reach, now: Instant) {
+        for crash in crashes {
+            if !lock(&self.dismissed_crashes).add(*crash, found, now) {
+                continue;
             }
+            let of_request = lock(&self.crashes).dismiss(crash, now);
+            let of_part = lock(&self.part_crashes).dismiss(crash, now);
+            let seen = "another host reports so";
+            log_dismissal(&crash.fingerprint, &of_request, &of_part, seen);
         }
-        if crashes.is_empty() {
-            return;
-        }
-        let upstreams: Vec<_> = crashes.iter().map(|crash| &*crash.upstream).collect();
-        log::info!(
-            target: "quarantine",
-            "crashes no longer count: fingerprint={} upstreams={}: {seen}",
-            short_digits(fingerprint),
-            upstreams.join(","),
-        );
+    }
+
+    /// Returns the crashes recently found not to count within `reach`, to report them.
+    pub(super) fn recently_dismissed(&self, reach: Reach, now: Instant) -> Vec<CrashId> {
+        let mut crashes = lock(&self.dismissed_crashes).within(reach, now);
+        // The newest ones; other hosts have heard of the others meanwhile.
+        crashes.drain(..crashes.len().saturating_sub(MAX_REPORTED_DISMISSALS));
+        crashes
     }
 
     /// Returns the part of a prompt with `parts` that crashes upstreams.
@@ -102,8 +145,11 @@
         }
     }
 
-    /// Returns the crashes recently found within `reach`, to report them.
+    /// Returns the crashes recently found within `reach` that count, to report them.
     pub fn recent_crashes(&self, reach: Reach, now: Instant) -> Vec<CrashReport> {
-        lock(&self.crash_reports).within(reach, now)
+        let mut reports = lock(&self.crash_reports).within(reach, now);
+        let dismissed = lock(&self.dismissed_crashes);
+        reports.retain(|report| !dismissed.contains(&report.id()));
+        reports
     }
 }
--- a/src/process/forwarding/load.rs
+++ b/src/process/forwarding/load.rs
@@ -185,7 +185,7 @@
 const WRONG_STAGE_BLOCK: Duration = Duration::from_secs(3);
 
 /// A report to other hosts that an upstream is unhealthy.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct UnhealthyReport {
     /// The upstream that the sender has blocked.
     pub upstream: UpstreamId,
--- a/src/process/forwarding/recent_news.rs
+++ b/src/process/forwarding/recent_news.rs
@@ -1,5 +1,7 @@
 //! News that hosts repeat to each other for a while. Performs no I/O and reads no clock.
 
+use std::collections::{HashSet, VecDeque};
+use std::hash::Hash;
 use std::time::{Duration, Instant};
 
 use crate::process::forwarding::source::Reach;
@@ -9,26 +11,36 @@
 #[derive(Debug)]
 pub struct RecentNews<T> {
     ttl: Duration,
-    entries: Vec<(Instant, Reach, T)>,
+    /// Oldest first.
+    entries: VecDeque<(Instant, Reach, T)>,
+    /// The pieces in `entries`.
+    known: HashSet<T>,
 }
 
-impl<T: Clone + PartialEq> RecentNews<T> {
+impl<T: Clone + Eq + Hash> RecentNews<T> {
     /// Creates an empty list whose entries are repeated for `ttl`.
     pub fn new(ttl: Duration) -> Self {
         Self {
             ttl,
-            entries: Vec::new(),
+            entries: VecDeque::new(),
+            known: HashSet::new(),
         }
     }
 
     /// Adds a piece of news that was found within `reach`. Returns whether it was not listed before.
     pub fn add(&mut self, item: T, reach: Reach, now: Instant) -> bool {
         self.drop_expired(now);
-        if self.entries.iter().any(|(_, _, known)| *known == item) {
-            return false;
+        let is_new = self.known.insert(item.clone());
+        if is_new {
+            let index = self.entries.partition_point(|(at, _, _)| *at <= now);
+            self.entries.insert(index, (now, reach, item));
         }
-        self.entries.push((now, reach, item));
-        true
+        is_new
+    }
+
+    /// Returns whether a piece of news is listed, an expired one included that was not dropped yet.
+    pub fn contains(&self, item: &T) -> bool {
+        self.known.contains(item)
     }
 
     /// Returns the news found within `reach` that is still repeated.
@@ -56,7 +68,10 @@
     /// Drops the pieces whose time to live has ended.
     pub fn drop_expired(&mut self, now: Instant) {
         let ttl = self.ttl;
-        self.entries
-            .retain(|(at, _, _)| now.saturating_duration_since(*at) < ttl);
+        let is_expired = |at: Instant| now.saturating_duration_since(at) >= ttl;
+        let expired = self.entries.partition_point(|(at, _, _)| is_expired(*at));
+        for (_, _, item) in self.entries.drain(..expired) {
+            self.known.remove(&item);
+        }
     }
 }
--- a/src/process/forwarding/report_exchange.rs
+++ b/src/process/forwarding/report_exchange.rs
@@ -265,13 +265,14 @@
         } else {
             Reach::Fleet
         };
+        // Before the section that dismisses some of them.
+        for crash in &report.crashes {
+            self.state.record_crash(crash, found, now);
+        }
         for section in &report.sections {
             self.state
                 .apply_section(section, source.as_ref(), found, now);
         }
-        for crash in &report.crashes {
-            self.state.record_crash(crash, found, now);
-        }
         self.state.record_peer_version(report.version);
         self.state.mark_left(&report.left, found, now);
         for unhealthy in &report.unwell {
--- a/src/process/forwarding/report_sections.rs
+++ b/src/process/forwarding/report_sections.rs
@@ -9,6 +9,7 @@
 use crate::process::forwarding::evacuation::EvacuationNews;
 use crate::process::forwarding::stage_load::StageSums;
 use crate::process::forwarding::usage::QueuedTokens;
+use crate::process::message::CrashId;
 
 /// The state of one part, as a report carries it. The sender leaves a section out that says nothing.
 #[derive(Debug, Clone, PartialEq)]
@@ -25,4 +26,6 @@
     QueuedTokens(Vec<QueuedTokens>),
     /// The engines that were ordered to change their stage and have not done so.
     StageChanges(Vec<OrderedStage>),
+    /// The crashes that were recently found not to count against requests.
+    DismissedCrashes(Vec<CrashId>),
 }
--- a/src/process/message/idempotency.rs
+++ b/src/process/message/idempotency.rs
@@ -67,7 +67,7 @@
 }
 
 /// Tells that a request crashed an upstream.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CrashReport {
     /// The hash of customer, route and body.
     pub fingerprint: Digest,
@@ -78,3 +78,22 @@
     /// The upstream that crashed.
     pub upstream: UpstreamId,
 }
+
+impl CrashReport {
+    /// Returns what identifies the crash among those that are held against fingerprints.
+    pub fn id(&self) -> CrashId {
+        CrashId {
+            fingerprint: self.fingerprint,
+            request: self.request,
+        }
+    }
+}
+
+/// A crash that is held against a fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CrashId {
+    /// The fingerprint.
+    pub fingerprint: Digest,
+    /// The request that the upstream was running.
+    pub request: RequestId,
+}
--- a/src/process/quarantine/crash_table.rs
+++ b/src/process/quarantine/crash_table.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::prelude::*;
-use crate::process::message::CrashReport;
+use crate::process::message::{CrashId, CrashReport};
 use crate::process::quarantine::evidence::Evidence;
 use crate::process::quarantine::evidence_table::{Dismissal, EvidenceRule, EvidenceTable};
 
@@ -53,6 +53,11 @@
         self.0.record_sound(fingerprint, sent_at, now)
     }
 
+    /// Dismisses a crash, as another host found out that the request did not cause it.
+    pub fn dismiss(&mut self, crash: &CrashId, now: Instant) -> Dismissal {
+        self.0.dismiss_crash(crash, now)
+    }
+
     /// Returns whether a fingerprint has caused `MAX_CRASHES` crashes and has not expired.
     pub fn is_quarantined(&self, fingerprint: &Digest, now: Instant) -> bool {
         self.0.suspected(fingerprint, now).is_some()
--- a/src/process/quarantine/evidence_table.rs
+++ b/src/process/quarantine/evidence_table.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::prelude::*;
-use crate::process::message::CrashReport;
+use crate::process::message::{CrashId, CrashReport};
 use crate::process::quarantine::evidence::{Crash, Evidence, count_events};
 
 /// How much evidence makes a fingerprint suspected.
@@ -106,6 +106,12 @@
         self.dismiss(fingerprint, |crash| crash.at < sent_at, now)
     }
 
+    /// Dismisses the crash that a request caused, as another host found out that it did not.
+    pub fn dismiss_crash(&mut self, crash: &CrashId, now: Instant) -> Dismissal {
+        let is_named = |known: &Crash| known.request == crash.request;
+        self.dismiss(&crash.fingerprint, is_named, now)
+    }
+
     /// Dismisses the crashes of a fingerprint that are disproved.
     fn dismiss(
         &mut self,
--- a/src/process/quarantine/part_table.rs
+++ b/src/process/quarantine/part_table.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::prelude::*;
-use crate::process::message::CrashReport;
+use crate::process::message::{CrashId, CrashReport};
 use crate::process::quarantine::SAME_CRASH_WINDOW;
 use crate::process::quarantine::evidence::{Crash, Evidence};
 use crate::process::quarantine::evidence_table::{Dismissal, EvidenceRule, EvidenceTable};
@@ -47,6 +47,11 @@
         self.0.record_sound(part, sent_at, now)
     }
 
+    /// Dismisses a crash, as another host found out that the request did not cause it.
+    pub fn dismiss(&mut self, crash: &CrashId, now: Instant) -> Dismissal {
+        self.0.dismiss_crash(crash, now)
+    }
+
     /// Returns the part of a prompt with `parts` for which a request is refused.
     pub fn refused_part(&self, parts: &[Digest], now: Instant) -> Option<Digest> {
         let is_refused = |digest: &&Digest| {
--- a/tests/suite/forward_report_codec.rs
+++ b/tests/suite/forward_report_codec.rs
@@ -10,6 +10,7 @@
 use hibiscusspread::process::forwarding::peers::HostReport;
 use hibiscusspread::process::forwarding::report_sections::ReportSection;
 use hibiscusspread::process::forwarding::usage::UsageTotals;
+use hibiscusspread::process::message::CrashId;
 
 use crate::forward_fleet::report;
 
@@ -84,6 +85,21 @@
     assert_eq!(decode_report(&bytes), Ok(sent));
 }
 
+/// Guards against dismissed crashes that don't reach other hosts, so that these go on refusing sound requests.
+#[test]
+fn dismissed_crashes_follow_a_report() {
+    let crash = CrashId {
+        fingerprint: [7; 32],
+        request: 5,
+    };
+    let sent = HostReport {
+        sections: vec![ReportSection::DismissedCrashes(vec![crash; 256])],
+        ..full_report()
+    };
+    let bytes = encode_report(&sent).expect("report encodes");
+    assert_eq!(decode_report(&bytes), Ok(sent));
+}
+
 proptest! {
     /// Guards against a panic, or a report that is lost, on any bytes after a sound report.
     #[test]
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -9,6 +9,7 @@
 mod config_command;
 mod config_fleet;
 mod crash_evidence;
+mod crash_evidence_fleet;
 mod crashing_parts;
 mod distribution;
 mod document;
