Take a repeated report of a crash for no further crash

Cause: a fingerprint keeps 8 crashes and dropped the oldest for a new one. Hosts repeat their reports for 3 s, relays for as long again, so a dropped crash came back as a new one with a later time. Three such times are three crashes apart from each other.

A report is recorded when this host first hears of it, and known for 12 s; repeats end with the third relay after 9 s. If a fingerprint has 8 crashes, one that does not count, or not by itself, yields to the new one, so that further crashes still count.

--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -4,6 +4,7 @@
 mod evacuations;
 
 use std::collections::HashSet;
+use std::hash::Hash;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -45,9 +46,18 @@
 /// The time for which a crash is reported to other hosts; longer than most network partitions between them.
 const CRASH_REPORT_TTL: Duration = Duration::from_secs(3);
 
+/// The time for which a reported crash is known. Its finder repeats it for `CRASH_REPORT_TTL`, each of two relays after it for as long
+/// from when it learned of it.
+const CRASH_REPORT_MEMORY: Duration = Duration::from_secs(12);
+
 /// The most upstreams of which an invalid value is logged, once each.
 const MAX_LOGGED_INVALID: usize = 1024;
 
+/// Creates a list of news of crashes.
+fn crash_news<T: Clone + Eq + Hash>() -> RecentNews<T> {
+    RecentNews::new(CRASH_REPORT_TTL).with_memory(CRASH_REPORT_MEMORY)
+}
+
 /// Counts and logs that an upstream counts as cold for `left`.
 fn record_cold_period(upstream: &UpstreamId, cause: &'static str, left: Duration) {
     ::metrics::counter!(metrics::COLD_PERIODS, "cause" => cause).increment(1);
@@ -131,8 +141,8 @@
             part_crashes: Mutex::new(PartTable::new(MAX_CRASH_PARTS)),
             part_changes: Mutex::default(),
             parts_changed: tokio::sync::Notify::new(),
-            crash_reports: Mutex::new(RecentNews::new(CRASH_REPORT_TTL)),
-            dismissed_crashes: Mutex::new(RecentNews::new(CRASH_REPORT_TTL)),
+            crash_reports: Mutex::new(crash_news()),
+            dismissed_crashes: Mutex::new(crash_news()),
             list_incomplete: tokio::sync::Notify::new(),
             operator_read_requested: tokio::sync::Notify::new(),
             starts_until: watch::Sender::default(),
--- a/src/process/forwarding/fleet/crashes.rs
+++ b/src/process/forwarding/fleet/crashes.rs
@@ -54,8 +54,9 @@
     /// Records that an upstream broke off while it ran a request, as found within `reach`, and reports it to others. The report
     /// names the fingerprint of the request or of a part of its prompt, which are never equal.
     pub fn record_crash(&self, report: &CrashReport, reach: Reach, now: Instant) {
-        lock(&self.crash_reports).add(report.clone(), reach, now);
-        if lock(&self.dismissed_crashes).contains(&report.id()) {
+        // Tables keep some crashes of each fingerprint only, so that a repeat could pass for another crash.
+        let is_new = lock(&self.crash_reports).add(report.clone(), reach, now);
+        if !is_new || lock(&self.dismissed_crashes).contains(&report.id()) {
             return;
         }
         lock(&self.crashes).record(report, now);
--- a/src/process/forwarding/recent_news.rs
+++ b/src/process/forwarding/recent_news.rs
@@ -11,6 +11,8 @@
 #[derive(Debug)]
 pub struct RecentNews<T> {
     ttl: Duration,
+    /// How long a piece is known, so that an equal one is no news.
+    memory: Duration,
     /// Oldest first.
     entries: VecDeque<(Instant, Reach, T)>,
     /// The pieces in `entries`.
@@ -22,11 +24,19 @@
     pub fn new(ttl: Duration) -> Self {
         Self {
             ttl,
+            memory: ttl,
             entries: VecDeque::new(),
             known: HashSet::new(),
         }
     }
 
+    /// Knows the pieces for `memory`, longer than they are repeated: other hosts may learn of them later, and repeat them for longer.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Duration) -> Self {
+        self.memory = memory.max(self.ttl);
+        self
+    }
+
     /// Adds a piece of news that was found within `reach`. Returns whether it was not listed before.
     pub fn add(&mut self, item: T, reach: Reach, now: Instant) -> bool {
         self.drop_expired(now);
@@ -46,8 +56,11 @@
     /// Returns the news found within `reach` that is still repeated.
     pub fn within(&mut self, reach: Reach, now: Instant) -> Vec<T> {
         self.drop_expired(now);
-        let entries = self.entries.iter().filter(|(_, found, _)| *found <= reach);
-        entries.map(|(_, _, item)| item.clone()).collect()
+        let ttl = self.ttl;
+        let entries = self.entries.iter();
+        let repeated = entries
+            .filter(|(at, found, _)| *found <= reach && now.saturating_duration_since(*at) < ttl);
+        repeated.map(|(_, _, item)| item.clone()).collect()
     }
 
     /// Returns all pieces, expired ones included that were not dropped yet.
@@ -65,10 +78,10 @@
         self.entries.is_empty()
     }
 
-    /// Drops the pieces whose time to live has ended.
+    /// Drops the pieces that are neither repeated nor known any longer.
     pub fn drop_expired(&mut self, now: Instant) {
-        let ttl = self.ttl;
-        let is_expired = |at: Instant| now.saturating_duration_since(at) >= ttl;
+        let memory = self.memory;
+        let is_expired = |at: Instant| now.saturating_duration_since(at) >= memory;
         let expired = self.entries.partition_point(|(at, _, _)| is_expired(*at));
         for (_, _, item) in self.entries.drain(..expired) {
             self.known.remove(&item);
--- a/src/process/quarantine/evidence.rs
+++ b/src/process/quarantine/evidence.rs
@@ -72,16 +72,25 @@
         }
     }
 
-    /// Adds a reported crash, unless it is known.
-    pub fn record(&mut self, report: &CrashReport, now: Instant) {
+    /// Adds a reported crash, unless it is known. If as many are kept as may be, one that adds nothing yields to it.
+    pub fn record(&mut self, report: &CrashReport, common_cause_window: Duration, now: Instant) {
         self.last_reported = now;
         if self.crashes.iter().any(|crash| crash.is_of(report)) {
             return;
         }
-        if self.crashes.len() == MAX_KEPT_CRASHES {
-            self.crashes.remove(0);
-        }
         self.crashes.push(Crash::new(report, now));
+        if self.crashes.len() <= MAX_KEPT_CRASHES {
+            return;
+        }
+        let redundant = self.redundant_crash(common_cause_window);
+        self.crashes.remove(redundant.unwrap_or(MAX_KEPT_CRASHES));
+    }
+
+    /// Returns the place of the first crash that does not count, or not by itself.
+    fn redundant_crash(&self, common_cause_window: Duration) -> Option<usize> {
+        let apart = crashes_apart(self.counting(), common_cause_window);
+        let is_apart = |crash: &Crash| apart.iter().any(|kept| std::ptr::eq(*kept, crash));
+        self.crashes.iter().position(|crash| !is_apart(crash))
     }
 
     /// Replaces the crashes by those that a host stored, oldest first.
@@ -112,17 +121,17 @@
     }
 }
 
-/// Counts crashes, oldest first, without those that have a cause in common with one before.
-pub fn count_events<'a>(
+/// Returns the crashes, oldest first, without those that have a cause in common with one before.
+pub fn crashes_apart<'a>(
     crashes: impl Iterator<Item = &'a Crash>,
     common_cause_window: Duration,
-) -> usize {
-    let mut counted: SmallVec<[&Crash; MAX_KEPT_CRASHES]> = SmallVec::new();
+) -> SmallVec<[&'a Crash; MAX_KEPT_CRASHES]> {
+    let mut apart: SmallVec<[&Crash; MAX_KEPT_CRASHES]> = SmallVec::new();
     for crash in crashes {
-        let mut earlier = counted.iter();
+        let mut earlier = apart.iter();
         if !earlier.any(|earlier| crash.has_common_cause(earlier, common_cause_window)) {
-            counted.push(crash);
+            apart.push(crash);
         }
     }
-    counted.len()
+    apart
 }
--- a/src/process/quarantine/evidence_table.rs
+++ b/src/process/quarantine/evidence_table.rs
@@ -7,7 +7,7 @@
 
 use crate::prelude::*;
 use crate::process::message::{CrashId, CrashReport};
-use crate::process::quarantine::evidence::{Crash, Evidence, count_events};
+use crate::process::quarantine::evidence::{Crash, Evidence, crashes_apart};
 
 /// How much evidence makes a fingerprint suspected.
 #[derive(Debug, Clone, PartialEq)]
@@ -87,12 +87,14 @@
 
     /// Returns whether these crashes make a fingerprint suspected.
     pub fn is_enough<'a>(&self, crashes: impl Iterator<Item = &'a Crash>) -> bool {
-        count_events(crashes, self.rule.common_cause_window) >= self.rule.min_crashes
+        crashes_apart(crashes, self.rule.common_cause_window).len() >= self.rule.min_crashes
     }
 
     /// Records a reported crash.
     pub fn record(&mut self, report: &CrashReport, now: Instant) {
-        self.entry(report.fingerprint, now).record(report, now);
+        let common_cause_window = self.rule.common_cause_window;
+        let evidence = self.entry(report.fingerprint, now);
+        evidence.record(report, common_cause_window, now);
     }
 
     /// Records that an upstream ran a request with this fingerprint, which was sent at `sent_at`, to its end: it did not cause the
--- a/tests/suite/crashing_parts.rs
+++ b/tests/suite/crashing_parts.rs
@@ -123,6 +123,36 @@
     assert_eq!(table.refused_part(&[FIRST], later), None);
 }
 
+/// Guards against a sound part that is refused after one disruption which breaks off more requests with it than the table keeps: a
+/// repeated report of one that was dropped passes for a later crash.
+#[test]
+fn repeated_reports_are_no_further_crashes() {
+    let state = FleetState::new(&ForwardingSettings::default());
+    let start = Instant::now();
+    let reports: Vec<_> = (0..40).map(|request| report(FIRST, request)).collect();
+    for report in &reports {
+        state.record_crash(report, Reach::Host, start);
+    }
+    // Through relays, crashes are repeated for up to three times as long as by their finder.
+    for (no, report) in reports.iter().cycle().take(90).enumerate() {
+        let now = start + Duration::from_millis(100) * u32::try_from(no).expect("small");
+        state.record_crash(report, Reach::Fleet, now);
+        assert_eq!(state.crashing_part(&[FIRST], now), None, "repeat {no}");
+    }
+}
+
+/// Guards against crashes that are left out because one disruption before them broke off many requests with the part.
+#[test]
+fn later_crashes_count_beside_those_of_a_disruption() {
+    let mut table = PartTable::new(100);
+    let start = Instant::now();
+    for request in 0..40 {
+        table.record_crash(&report(FIRST, request), start);
+    }
+    let now = crash_apart(&mut table, &[FIRST], 40..40 + ENOUGH - 1, start);
+    assert_eq!(table.refused_part(&[FIRST], now), Some(FIRST));
+}
+
 /// Guards against a refusal that outlives the crashes on which it rests, and against a table that grows without bound.
 #[test]
 fn crashes_expire_and_the_table_is_bounded() {
