Take no upstream for crashed that goes on serving

Callers were refused for an hour after two upstreams had lost the answer to equal requests, though both went on answering other requests.

Cause: a connection that breaks counted as a crash for good. One process also counted as often as it broke connections more than 2 s apart.

A crashed upstream is gone for seconds and comes back as a new process. So hosts note which upstreams broke calls off (`InterruptedUpstreams`): an answer to a call that was sent after the break, by the upstream with the same start, dismisses its crashes and is told to all hosts. Any answer serves, also a refusal and that to a reservation; nothing is sent for it. It proves nothing if the upstream was unreachable in between, or more than 2 s after the break, as a new process may serve under the same id before the list of upstreams shows it. Crashes of a process with a known start count once, however late they are reported.

`requests_with_a_crashing_part_reach_no_engine` let one engine process crash twice; its engines now start anew after each crash.

--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -32,7 +32,7 @@
 use crate::process::forwarding::usage::UsageTracker;
 use crate::process::message::{CrashId, CrashReport};
 use crate::process::metrics;
-use crate::process::quarantine::{CrashTable, PartTable};
+use crate::process::quarantine::{CrashTable, InterruptedUpstreams, PartTable};
 use crate::process::shard::lock;
 use crate::version::cell::VersionCell;
 use crate::version::forwarding::{ColdLimits, ForwardingTable};
@@ -95,6 +95,8 @@
     crashes: Mutex<CrashTable>,
     /// The crashes by part of the prompt.
     part_crashes: Mutex<PartTable>,
+    /// The upstreams that broke calls off.
+    interrupted: InterruptedUpstreams,
     /// The parts whose suspicion this host found to begin or end and has not stored yet.
     part_changes: Mutex<Vec<Digest>>,
     /// Wakes the task that stores them.
@@ -139,6 +141,7 @@
             peers: Mutex::default(),
             crashes: Mutex::new(CrashTable::new(MAX_CRASH_FINGERPRINTS)),
             part_crashes: Mutex::new(PartTable::new(MAX_CRASH_PARTS)),
+            interrupted: InterruptedUpstreams::default(),
             part_changes: Mutex::default(),
             parts_changed: tokio::sync::Notify::new(),
             crash_reports: Mutex::new(crash_news()),
--- a/src/process/forwarding/fleet/crashes.rs
+++ b/src/process/forwarding/fleet/crashes.rs
@@ -1,11 +1,13 @@
 //! The crashes that are held against requests and parts of prompts.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use smallvec::SmallVec;
 
 use super::FleetState;
 use crate::prelude::*;
+use crate::process::forwarding::directory::Instance;
 use crate::process::forwarding::source::Reach;
 use crate::process::message::{CrashId, CrashReport};
 use crate::process::quarantine::{Dismissal, short_digits};
@@ -59,8 +61,11 @@
         if !is_new || lock(&self.dismissed_crashes).contains(&report.id()) {
             return;
         }
-        lock(&self.crashes).record(report, now);
-        let is_suspected = lock(&self.part_crashes).record_crash(report, now);
+        let instance = self.with_directory(|d| d.instance(&report.upstream));
+        let started = instance.map(|instance| instance.born);
+        self.interrupted.record_interruption(&report.upstream, now);
+        lock(&self.crashes).record(report, started, now);
+        let is_suspected = lock(&self.part_crashes).record_crash(report, started, now);
         if is_suspected && reach == Reach::Host {
             self.record_part_change(report.fingerprint);
         }
@@ -73,25 +78,70 @@
             let of_request = lock(&self.crashes).record_sound(fingerprint, sent_at, now);
             let of_part = lock(&self.part_crashes).record_sound(fingerprint, sent_at, now);
             let seen = "a request sent since ran to its end";
-            let requests = log_dismissal(fingerprint, &of_request, &of_part, seen);
-            if of_part.ends_suspicion {
-                self.record_part_change(*fingerprint);
-            }
-            if requests.is_empty() {
-                continue;
-            }
-            let mut dismissed = lock(&self.dismissed_crashes);
-            for request in requests {
-                let fingerprint = *fingerprint;
-                let crash = CrashId {
-                    fingerprint,
-                    request,
-                };
-                dismissed.add(crash, Reach::Host, now);
-            }
-            drop(dismissed);
-            self.request_report();
+            self.follow_dismissal(fingerprint, &of_request, &of_part, seen, now);
+        }
+    }
+
+    /// Records that an upstream answered a call that was sent at `sent_at`, and reports to others which crashes that disproves.
+    pub fn record_answer(&self, instance: &Instance, sent_at: Instant, now: Instant) {
+        let Some(time) = self.interrupted.record_answer(&instance.id, sent_at) else {
+            return;
+        };
+        let (id, born) = (&instance.id, instance.born);
+        let of_requests = lock(&self.crashes).dismiss_crashes_of(id, born, &time, now);
+        let of_parts = lock(&self.part_crashes).dismiss_crashes_of(id, born, &time, now);
+        let mut dismissals: BTreeMap<Digest, [Dismissal; 2]> = BTreeMap::new();
+        for (fingerprint, dismissal) in of_requests {
+            dismissals.entry(fingerprint).or_default()[0] = dismissal;
+        }
+        for (fingerprint, dismissal) in of_parts {
+            dismissals.entry(fingerprint).or_default()[1] = dismissal;
+        }
+        for (fingerprint, [of_request, of_part]) in &dismissals {
+            let seen = "the upstream, started at the same time, answered a call sent since";
+            self.follow_dismissal(fingerprint, of_request, of_part, seen, now);
+        }
+    }
+
+    /// Records that no connection to an upstream could be opened.
+    pub fn record_unreachable(&self, instance: &Instance, now: Instant) {
+        if self.interrupted.record_unreachable(&instance.id, now) {
+            log::info!(
+                target: "quarantine",
+                "upstream {} started={} is unreachable after it broke off a request",
+                instance.id,
+                instance.born,
+            );
+        }
+    }
+
+    /// Logs and reports that this host found crashes not to count, against a request or a part of a prompt.
+    fn follow_dismissal(
+        &self,
+        fingerprint: &Digest,
+        of_request: &Dismissal,
+        of_part: &Dismissal,
+        seen: &str,
+        now: Instant,
+    ) {
+        let requests = log_dismissal(fingerprint, of_request, of_part, seen);
+        if of_part.ends_suspicion {
+            self.record_part_change(*fingerprint);
+        }
+        if requests.is_empty() {
+            return;
+        }
+        let mut dismissed = lock(&self.dismissed_crashes);
+        for request in requests {
+            let fingerprint = *fingerprint;
+            let crash = CrashId {
+                fingerprint,
+                request,
+            };
+            dismissed.add(crash, Reach::Host, now);
         }
+        drop(dismissed);
+        self.request_report();
     }
 
     /// Dismisses crashes that other hosts within `found` found not to count.
--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -4,6 +4,7 @@
 mod crash_table;
 mod evidence;
 mod evidence_table;
+mod interrupted_upstreams;
 mod part_table;
 
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 pub use crash_table::{CrashTable, FINGERPRINT_TTL, MAX_CRASHES};
 pub use evidence::SAME_CRASH_WINDOW;
 pub use evidence_table::Dismissal;
+pub use interrupted_upstreams::InterruptedUpstreams;
 pub use part_table::{COMMON_CAUSE_WINDOW, MIN_PART_CRASHES, PART_TTL, PartTable};
 
 /// Decides whether a request may run, by the crashes that it has caused.
--- a/src/process/quarantine/crash_quarantine.rs
+++ b/src/process/quarantine/crash_quarantine.rs
@@ -70,7 +70,7 @@
 
     fn record(&self, report: &CrashReport) {
         let mut table = self.tables.lock(&report.fingerprint);
-        table.0.record(report, self.clock.now());
+        table.0.record(report, None, self.clock.now());
     }
 
     async fn report_to_peers(&self, report: CrashReport) {
--- a/src/process/quarantine/crash_table.rs
+++ b/src/process/quarantine/crash_table.rs
@@ -1,5 +1,6 @@
 //! Counts the crashes of each fingerprint. Does no I/O and reads no clock.
 
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use crate::prelude::*;
@@ -38,9 +39,10 @@
         self.0.len() == 0
     }
 
-    /// Records a reported crash at `now`, unless the same crash was reported before.
-    pub fn record(&mut self, report: &CrashReport, now: Instant) {
-        self.0.record(report, now);
+    /// Records a reported crash at `now`, unless the same crash was reported before. `started` is the start of the upstream's process in
+    /// Unix milliseconds, if known.
+    pub fn record(&mut self, report: &CrashReport, started: Option<u64>, now: Instant) {
+        self.0.record(report, started, now);
     }
 
     /// Records that an upstream ran a request with this fingerprint, which was sent at `sent_at`, to its end.
@@ -58,6 +60,17 @@
         self.0.dismiss_crash(crash, now)
     }
 
+    /// Dismisses the crashes, reported within `time`, of the process of `upstream` that started at `started` and is still alive.
+    pub fn dismiss_crashes_of(
+        &mut self,
+        upstream: &UpstreamId,
+        started: u64,
+        time: &Range<Instant>,
+        now: Instant,
+    ) -> Vec<(Digest, Dismissal)> {
+        self.0.dismiss_crashes_of(upstream, started, time, now)
+    }
+
     /// Returns whether a fingerprint has caused `MAX_CRASHES` crashes and has not expired.
     pub fn is_quarantined(&self, fingerprint: &Digest, now: Instant) -> bool {
         self.0.suspected(fingerprint, now).is_some()
--- a/src/process/quarantine/evidence.rs
+++ b/src/process/quarantine/evidence.rs
@@ -7,8 +7,8 @@
 use crate::prelude::*;
 use crate::process::message::CrashReport;
 
-/// How long reports of one upstream from different requests count as the same crash: if the same body was sent several
-/// times at once, one crash interrupts all of these requests.
+/// The shortest time for which an upstream that crashed is gone. Reports of one upstream from different requests count as the same
+/// crash for that long: if the same body was sent several times at once, one crash interrupts all of these requests.
 pub const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
 
 /// The crashes kept for each fingerprint: enough to tell the parts of the same requests apart.
@@ -23,6 +23,8 @@
     pub attempt: AttemptNo,
     /// The upstream.
     pub upstream: UpstreamId,
+    /// The start of its process in Unix milliseconds; `None` if this host doesn't know it.
+    pub started: Option<u64>,
     /// When this host learned of it.
     pub at: Instant,
     /// Whether something seen since shows that the request did not cause it.
@@ -30,28 +32,30 @@
 }
 
 impl Crash {
-    /// Creates a crash that this host learns of now.
-    pub fn new(report: &CrashReport, now: Instant) -> Self {
+    /// Creates a crash of the process that started at `started`, of which this host learns now.
+    pub fn new(report: &CrashReport, started: Option<u64>, now: Instant) -> Self {
         Self {
             request: report.request,
             attempt: report.attempt,
             upstream: report.upstream.clone(),
+            started,
             at: now,
             is_dismissed: false,
         }
     }
 
-    fn is_of(&self, report: &CrashReport) -> bool {
-        self.request == report.request && self.attempt == report.attempt
+    fn is_same(&self, other: &Self) -> bool {
+        self.request == other.request && self.attempt == other.attempt
     }
 
     /// Returns whether one end of an upstream, or one disruption of several, is the cause of both this crash and an earlier one.
     fn has_common_cause(&self, earlier: &Self, common_cause_window: Duration) -> bool {
         let elapsed = self.at.saturating_duration_since(earlier.at);
-        let is_same_upstream = self.upstream == earlier.upstream
-            && self.request != earlier.request
-            && elapsed < SAME_CRASH_WINDOW;
-        is_same_upstream || elapsed < common_cause_window
+        let is_same_process = match (self.started, earlier.started) {
+            (Some(started), Some(before)) => started == before,
+            _ => self.request != earlier.request && elapsed < SAME_CRASH_WINDOW,
+        };
+        (self.upstream == earlier.upstream && is_same_process) || elapsed < common_cause_window
     }
 }
 
@@ -73,12 +77,12 @@
     }
 
     /// Adds a reported crash, unless it is known. If as many are kept as may be, one that adds nothing yields to it.
-    pub fn record(&mut self, report: &CrashReport, common_cause_window: Duration, now: Instant) {
-        self.last_reported = now;
-        if self.crashes.iter().any(|crash| crash.is_of(report)) {
+    pub fn record(&mut self, crash: Crash, common_cause_window: Duration) {
+        self.last_reported = crash.at;
+        if self.crashes.iter().any(|known| known.is_same(&crash)) {
             return;
         }
-        self.crashes.push(Crash::new(report, now));
+        self.crashes.push(crash);
         if self.crashes.len() <= MAX_KEPT_CRASHES {
             return;
         }
--- a/src/process/quarantine/evidence_table.rs
+++ b/src/process/quarantine/evidence_table.rs
@@ -1,6 +1,7 @@
 //! The evidence against a bounded number of fingerprints. Does no I/O and reads no clock.
 
 use std::collections::HashMap;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
@@ -90,11 +91,12 @@
         crashes_apart(crashes, self.rule.common_cause_window).len() >= self.rule.min_crashes
     }
 
-    /// Records a reported crash.
-    pub fn record(&mut self, report: &CrashReport, now: Instant) {
+    /// Records a reported crash of the process that started at `started`, in Unix milliseconds; `None` if that is not known.
+    pub fn record(&mut self, report: &CrashReport, started: Option<u64>, now: Instant) {
         let common_cause_window = self.rule.common_cause_window;
+        let crash = Crash::new(report, started, now);
         let evidence = self.entry(report.fingerprint, now);
-        evidence.record(report, common_cause_window, now);
+        evidence.record(crash, common_cause_window);
     }
 
     /// Records that an upstream ran a request with this fingerprint, which was sent at `sent_at`, to its end: it did not cause the
@@ -108,6 +110,28 @@
         self.dismiss(fingerprint, |crash| crash.at < sent_at, now)
     }
 
+    /// Dismisses the crashes, reported within `time`, of the process of `upstream` that started at `started` and is still alive. Returns
+    /// what came of it for each fingerprint.
+    pub fn dismiss_crashes_of(
+        &mut self,
+        upstream: &UpstreamId,
+        started: u64,
+        time: &Range<Instant>,
+        now: Instant,
+    ) -> Vec<(Digest, Dismissal)> {
+        let is_alive = |crash: &Crash| {
+            let is_process = crash.upstream == *upstream && crash.started == Some(started);
+            is_process && time.contains(&crash.at)
+        };
+        let named = self.entries.iter();
+        let named = named.filter(|(_, evidence)| evidence.counting().any(is_alive));
+        let fingerprints: Vec<_> = named.map(|(fingerprint, _)| *fingerprint).collect();
+        let dismissals = fingerprints
+            .into_iter()
+            .map(|fingerprint| (fingerprint, self.dismiss(&fingerprint, is_alive, now)));
+        dismissals.collect()
+    }
+
     /// Dismisses the crash that a request caused, as another host found out that it did not.
     pub fn dismiss_crash(&mut self, crash: &CrashId, now: Instant) -> Dismissal {
         let is_named = |known: &Crash| known.request == crash.request;
--- a/src/process/quarantine/part_table.rs
+++ b/src/process/quarantine/part_table.rs
@@ -1,5 +1,6 @@
 //! Finds the parts of prompts that crash upstreams. Does no I/O and reads no clock.
 
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use crate::prelude::*;
@@ -35,10 +36,16 @@
         Self(EvidenceTable::new(capacity, rule))
     }
 
-    /// Records that a request with a part crashed an upstream. Returns whether the part is now suspected and was not before.
-    pub fn record_crash(&mut self, report: &CrashReport, now: Instant) -> bool {
+    /// Records that a request with a part crashed an upstream, whose process started at `started` in Unix milliseconds, if known.
+    /// Returns whether the part is now suspected and was not before.
+    pub fn record_crash(
+        &mut self,
+        report: &CrashReport,
+        started: Option<u64>,
+        now: Instant,
+    ) -> bool {
         let was_suspected = self.is_suspected(&report.fingerprint, now);
-        self.0.record(report, now);
+        self.0.record(report, started, now);
         !was_suspected && self.is_suspected(&report.fingerprint, now)
     }
 
@@ -52,6 +59,17 @@
         self.0.dismiss_crash(crash, now)
     }
 
+    /// Dismisses the crashes, reported within `time`, of the process of `upstream` that started at `started` and is still alive.
+    pub fn dismiss_crashes_of(
+        &mut self,
+        upstream: &UpstreamId,
+        started: u64,
+        time: &Range<Instant>,
+        now: Instant,
+    ) -> Vec<(Digest, Dismissal)> {
+        self.0.dismiss_crashes_of(upstream, started, time, now)
+    }
+
     /// Returns the part of a prompt with `parts` for which a request is refused.
     pub fn refused_part(&self, parts: &[Digest], now: Instant) -> Option<Digest> {
         let is_refused = |digest: &&Digest| {
@@ -98,7 +116,7 @@
                 attempt: 1,
                 upstream: upstream.clone(),
             };
-            restored.push(Crash::new(&report, at));
+            restored.push(Crash::new(&report, None, at));
             at = at.checked_sub(SAME_CRASH_WINDOW).unwrap_or(at);
         }
         restored.reverse();
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -99,6 +99,18 @@
     answering.filter(|id| **id != *instance.id)
 }
 
+/// Records that `instance` answered a call sent at `sent_at`, unless another upstream answered at its address.
+pub fn record_answer(
+    cx: &ForwardContext,
+    instance: &Instance,
+    head: &response::Parts,
+    sent_at: Instant,
+) {
+    if unexpected_upstream(cx, instance, head).is_none() {
+        cx.state.record_answer(instance, sent_at, cx.clock.now());
+    }
+}
+
 /// Applies what the head of an answer of `instance` says of the instance itself.
 pub fn apply_instance_state(cx: &ForwardContext, instance: &Instance, head: &response::Parts) {
     let response = cx.codec.read_response(head);
@@ -279,6 +291,9 @@
                     }
                 }
                 let is_unreachable = matches!(failure, SendFailure::Unreachable { .. });
+                if is_unreachable {
+                    self.cx.state.record_unreachable(&self.instance, now);
+                }
                 self.finish(if is_unreachable {
                     CallOutcome::Unreachable
                 } else {
@@ -328,6 +343,7 @@
         if request_id.is_none() && (expects_signature || response_head.not_run) {
             return Err(AttemptFailure::invalid("answer without a request id"));
         }
+        record_answer(cx, &self.instance, &head, self.sent_at);
         if response_head.not_run {
             return Err(AttemptFailure::from_refusal(cx, &self.instance, &head));
         }
--- a/src/request/forward/generation/reservation.rs
+++ b/src/request/forward/generation/reservation.rs
@@ -13,7 +13,7 @@
 use crate::process::forwarding::directory::Instance;
 use crate::process::forwarding::load::CallOutcome;
 use crate::request::forward::attempt::{
-    Attempt, AttemptFailure, apply_instance_state, unexpected_upstream,
+    Attempt, AttemptFailure, apply_instance_state, record_answer, unexpected_upstream,
 };
 use crate::request::forward::call::ReservationRequest;
 use crate::request::forward::flow::ForwardContext;
@@ -141,8 +141,12 @@
             .is_some_and(|at| now.saturating_duration_since(at) < reuse_window),
     };
     let sent = cx.transport.send(engine.address, req, limits).await;
+    if let Err(SendFailure::Unreachable { .. }) = &sent {
+        cx.state.record_unreachable(engine, cx.clock.now());
+    }
     let (head, mut body) = sent.map_err(AttemptFailure::Send)?.into_parts();
     apply_instance_state(cx, engine, &head);
+    record_answer(cx, engine, &head, now);
     if !head.status.is_success() || unexpected_upstream(cx, engine, &head).is_some() {
         return Err(AttemptFailure::from_refusal(cx, engine, &head));
     }
--- a/tests/suite/crash_evidence.rs
+++ b/tests/suite/crash_evidence.rs
@@ -1,8 +1,9 @@
 //! What counts as a crash of an upstream against the requests that it ran, and what ends that.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use hibiscusspread::process::quarantine::SAME_CRASH_WINDOW;
+use hibiscusspread::process::message::CrashReport;
+use hibiscusspread::process::quarantine::{CrashTable, InterruptedUpstreams, SAME_CRASH_WINDOW};
 
 use crate::platform_stand_in::{Answer, Behaviour, Platform};
 
@@ -71,3 +72,89 @@
         assert_eq!(platform.seen_by(prefix).len(), 6, "{path}");
     }
 }
+
+/// Guards against the refusal of equal requests whose answers were lost, although their upstreams go on serving others.
+#[tokio::test]
+async fn upstreams_that_answer_since_have_not_crashed() {
+    for (prefix, lost, other) in [
+        ("s", "/book/1", "/book/other"),
+        ("d", "/text/1", "/text/other"),
+    ] {
+        let platform = Platform::start().await;
+        set_behaviour(&platform, prefix, Behaviour::LoseAnswer);
+        for _ in 0..2 {
+            let answer = platform.call("POST", lost).await;
+            assert_eq!(answer.status, 502, "{lost}: {answer:?}");
+        }
+        set_behaviour(&platform, prefix, Behaviour::Run);
+        // Longer than a failed upstream is avoided.
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        for _ in 0..4 {
+            let answer = platform.call("POST", other).await;
+            assert!(is_served(&answer), "{other}: {answer:?}");
+        }
+        let answer = platform.call("POST", lost).await;
+        assert!(is_served(&answer), "{lost}: {answer:?}");
+    }
+}
+
+const UPSTREAM: &str = "u";
+
+/// Guards against taking an upstream for sound that crashed: by an answer to a call sent before, by one of a process that started
+/// since, and against doubting one that goes on answering.
+#[test]
+fn only_answers_of_the_same_process_disprove_a_crash() {
+    let start = Instant::now();
+    let ms = Duration::from_millis;
+    let upstream = UPSTREAM.into();
+    let cases = [
+        ("a call sent since", None, 300, true),
+        ("a call sent before", None, 0, false),
+        ("a new process at the same address", Some(200), 300, false),
+        ("a process that had time to start", None, 2300, false),
+    ];
+    for (what, unreachable, sent, is_disproved) in cases {
+        let interrupted = InterruptedUpstreams::default();
+        let broken_at = start + ms(100);
+        interrupted.record_interruption(&upstream, broken_at);
+        if let Some(at) = unreachable {
+            assert!(interrupted.record_unreachable(&upstream, start + ms(at)));
+        }
+        let time = interrupted.record_answer(&upstream, start + ms(sent));
+        let disproved = time.is_some_and(|time| time.contains(&broken_at));
+        assert_eq!(disproved, is_disproved, "{what}");
+    }
+    assert_eq!(
+        InterruptedUpstreams::default().record_answer(&upstream, start),
+        None
+    );
+}
+
+/// Guards against a crash that is dismissed because another process has the upstream's id, or because the upstream was sound before.
+#[test]
+fn answers_disprove_crashes_of_their_process_only() {
+    let start = Instant::now();
+    let fingerprint = [1; 32];
+    let crash = |table: &mut CrashTable, request, started, at| {
+        let report = CrashReport {
+            fingerprint,
+            request,
+            attempt: 1,
+            upstream: UPSTREAM.into(),
+        };
+        table.record(&report, Some(started), at);
+    };
+    let mut table = CrashTable::new(10);
+    for (request, started) in [(1, 10), (2, 20), (3, 20)] {
+        let at = start + Duration::from_secs(request);
+        crash(&mut table, u128::from(request), started, at);
+    }
+    let now = start + Duration::from_secs(10);
+    assert!(table.is_quarantined(&fingerprint, now), "each process once");
+    for (started, end, is_quarantined) in [(30, 10, true), (20, 2, true), (20, 10, false)] {
+        let time = start..start + Duration::from_secs(end);
+        table.dismiss_crashes_of(&UPSTREAM.into(), started, &time, now);
+        let is_refused = table.is_quarantined(&fingerprint, now);
+        assert_eq!(is_refused, is_quarantined, "{started} {end}");
+    }
+}
--- a/tests/suite/crashing_parts.rs
+++ b/tests/suite/crashing_parts.rs
@@ -52,7 +52,7 @@
         // A part that no other request has explains nothing.
         let own = [100 + u8::try_from(request).expect("small"); 32];
         for part in parts.iter().chain([&own]) {
-            table.record_crash(&report(*part, request), now);
+            table.record_crash(&report(*part, request), None, now);
         }
     }
     now
@@ -86,7 +86,7 @@
     let mut table = PartTable::new(100);
     for request in 0..20 {
         let now = start + COMMON_CAUSE_WINDOW / 25 * u32::try_from(request).expect("small");
-        table.record_crash(&report(FIRST, request), now);
+        table.record_crash(&report(FIRST, request), None, now);
     }
     assert_eq!(table.refused_part(&[FIRST], start + APART), None);
     let mut table = PartTable::new(100);
@@ -94,7 +94,7 @@
         let mut report = report(FIRST, request);
         report.upstream = "u".into();
         let now = start + SAME_CRASH_WINDOW / 25 * u32::try_from(request).expect("small");
-        table.record_crash(&report, now);
+        table.record_crash(&report, None, now);
     }
     assert_eq!(table.refused_part(&[FIRST], start + APART), None);
 }
@@ -118,7 +118,7 @@
     );
     let later = now + APART * 2;
     for request in 0..ENOUGH {
-        table.record_crash(&report(FIRST, request), later);
+        table.record_crash(&report(FIRST, request), None, later);
     }
     assert_eq!(table.refused_part(&[FIRST], later), None);
 }
@@ -147,7 +147,7 @@
     let mut table = PartTable::new(100);
     let start = Instant::now();
     for request in 0..40 {
-        table.record_crash(&report(FIRST, request), start);
+        table.record_crash(&report(FIRST, request), None, start);
     }
     let now = crash_apart(&mut table, &[FIRST], 40..40 + ENOUGH - 1, start);
     assert_eq!(table.refused_part(&[FIRST], now), Some(FIRST));
@@ -254,6 +254,10 @@
     for no in 0..MIN_PART_CRASHES {
         let answer = generate(&platform, &format!("crash-{no}"), &crashing(no)).await;
         assert!(!is_served(&answer), "{answer:?}");
+        // An upstream that crashed is gone for a while, and starts anew.
+        for id in ["d-0", "d-1"] {
+            platform.register_restarted(id).await;
+        }
         tokio::time::sleep(SAME_CRASH_WINDOW).await;
     }
     let answer = generate(&platform, "refused", &crashing(9)).await;
--- a/tests/suite/platform_stand_in.rs
+++ b/tests/suite/platform_stand_in.rs
@@ -952,6 +952,17 @@
         put_json(&self.store, &format!("servers/{id}"), &registration).await;
     }
 
+    /// Registers an upstream that has started anew under its id.
+    pub async fn register_restarted(&self, id: &str) {
+        let key = format!("servers/{id}");
+        let entry = self.store.get(&key).await.expect("store answers");
+        let entry = entry.expect("upstream is registered");
+        let mut registration: Value = serde_json::from_slice(&entry.value).expect("JSON");
+        let born = registration["born"].as_u64().expect("born");
+        registration["born"] = (born + 1).into();
+        put_json(&self.store, &key, &registration).await;
+    }
+
     /// Asks to evacuate a data centre, as the operators do.
     pub async fn evacuate(&self, zone: &str) {
         put_json(&self.store, &format!("op/evacuate/{zone}"), &json!({})).await;
--- a/tests/suite/quarantine.rs
+++ b/tests/suite/quarantine.rs
@@ -59,8 +59,8 @@
     let mut table = CrashTable::new(10);
     for n in 0..100 {
         let now = start + Duration::from_secs(u64::from(n));
-        table.record(&report(n, 1, 1), now);
-        table.record(&report(n, 1, 2), now);
+        table.record(&report(n, 1, 1), None, now);
+        table.record(&report(n, 1, 2), None, now);
         assert!(table.len() <= 10);
     }
     let now = start + Duration::from_secs(100);
@@ -114,7 +114,7 @@
             }
             let upstream = format!("u{upstream}").into();
             let report = CrashReport { upstream, ..report(fingerprint_id, request, attempt) };
-            table.record(&report, now);
+            table.record(&report, None, now);
             let entry = oracle.entry(fingerprint_id).or_insert_with(|| Oracle::new(now));
             entry.last = now;
             if !entry.reported.insert((request, attempt)) {
@@ -138,14 +138,18 @@
     let start = Instant::now();
     let mut table = CrashTable::new(10);
     for request in 0..20 {
-        table.record(&report(1, request, 1), start + Duration::from_millis(300));
+        table.record(
+            &report(1, request, 1),
+            None,
+            start + Duration::from_millis(300),
+        );
     }
     assert!(!table.is_quarantined(&[1; 32], start + Duration::from_secs(1)));
     let other = CrashReport {
         upstream: "u2".into(),
         ..report(1, 0, 2)
     };
-    table.record(&other, start + Duration::from_secs(1));
+    table.record(&other, None, start + Duration::from_secs(1));
     assert!(table.is_quarantined(&[1; 32], start + Duration::from_secs(1)));
 }
 
