Let a suspected request through now and then, and state that time

Callers of a request that was broken off by two unrelated crashes were refused at all hosts for an hour (requests with a common part: 5 min). The Retry-After of 10 to 12 s was the host's default deadline, so that those who came back were refused again.

Cause: nothing ended a suspicion but time. While equal requests are refused, none can show that they are sound.

5 s after the last crash (10 s for a part, whose crash breaks off the requests of a whole engine) one request may run as a trial, at one upstream. The delay doubles with each crash; after two failed trials the evidence expires as before. Hosts take turns in an order drawn for each crash and tell each other of a trial, which holds back theirs for 3 s. A refusal states the time of the host's next turn.

--- a/src/connection/forward/reports.rs
+++ b/src/connection/forward/reports.rs
@@ -39,6 +39,7 @@
 const STAGE_CHANGES: u8 = 7;
 const QUEUED_TOKENS: u8 = 8;
 const DISMISSED_CRASHES: u8 = 9;
+const CRASH_TRIALS: u8 = 10;
 
 /// Encodes a report and its sections. Sections that would make it too large are left out, those with the highest numbers first.
 ///
@@ -109,6 +110,7 @@
         ReportSection::DismissedCrashes(crashes) => {
             Ok((DISMISSED_CRASHES, codec::encode(crashes)?))
         }
+        ReportSection::CrashTrials(trials) => Ok((CRASH_TRIALS, codec::encode(trials)?)),
     }
 }
 
@@ -128,6 +130,8 @@
             .map(ReportSection::QueuedTokens),
         DISMISSED_CRASHES => codec::decode_exactly::<Vec<CrashId>, MAX_SECTION_BYTES>(body)
             .map(ReportSection::DismissedCrashes),
+        CRASH_TRIALS => codec::decode_exactly::<Vec<CrashId>, MAX_SECTION_BYTES>(body)
+            .map(ReportSection::CrashTrials),
         _ => return None,
     };
     Some(section)
--- a/src/process/forwarding/fleet.rs
+++ b/src/process/forwarding/fleet.rs
@@ -95,6 +95,8 @@
     crashes: Mutex<CrashTable>,
     /// The crashes by part of the prompt.
     part_crashes: Mutex<PartTable>,
+    /// The requests that were recently let through as trials, to report them.
+    trials: Mutex<RecentNews<CrashId>>,
     /// The upstreams that broke calls off.
     interrupted: InterruptedUpstreams,
     /// The parts whose suspicion this host found to begin or end and has not stored yet.
@@ -141,6 +143,7 @@
             peers: Mutex::default(),
             crashes: Mutex::new(CrashTable::new(MAX_CRASH_FINGERPRINTS)),
             part_crashes: Mutex::new(PartTable::new(MAX_CRASH_PARTS)),
+            trials: Mutex::new(crash_news()),
             interrupted: InterruptedUpstreams::default(),
             part_changes: Mutex::default(),
             parts_changed: tokio::sync::Notify::new(),
@@ -551,6 +554,10 @@
         if !dismissed.is_empty() {
             sections.push(ReportSection::DismissedCrashes(dismissed));
         }
+        let trials = lock(&self.trials).within(reach, now);
+        if !trials.is_empty() {
+            sections.push(ReportSection::CrashTrials(trials));
+        }
         let changing = self.change_directory(|d| d.changing(reach, now));
         if !changing.is_empty() {
             sections.push(ReportSection::StageChanges(changing));
@@ -573,6 +580,7 @@
             ReportSection::DismissedCrashes(crashes) => {
                 self.apply_dismissed(crashes, found, now);
             }
+            ReportSection::CrashTrials(trials) => self.apply_trials(trials, found, now),
             ReportSection::ColdEngines(reports) => self.apply_cold_reports(reports, found, now),
             ReportSection::StageChanges(changing) => {
                 for ordered in changing {
--- a/src/process/forwarding/fleet/crashes.rs
+++ b/src/process/forwarding/fleet/crashes.rs
@@ -1,7 +1,7 @@
 //! The crashes that are held against requests and parts of prompts.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
 
@@ -10,9 +10,15 @@
 use crate::process::forwarding::directory::Instance;
 use crate::process::forwarding::source::Reach;
 use crate::process::message::{CrashId, CrashReport};
-use crate::process::quarantine::{Dismissal, short_digits};
+use crate::process::quarantine::{Dismissal, TrialTurn, Verdict, short_digits};
 use crate::process::shard::lock;
 
+/// The time after which an upstream has crashed on a request, if it does. Engines prefill its prompt before, behind others.
+const TRIAL_TIME: Duration = Duration::from_secs(3);
+
+/// The time between the first trials of two hosts, apart from that in which one hears of the other's.
+const TRIAL_TURN: Duration = Duration::from_millis(100);
+
 /// The most dismissed crashes that a report tells; they fit into a datagram beside the rest of a report.
 const MAX_REPORTED_DISMISSALS: usize = 256;
 
@@ -43,9 +49,63 @@
 }
 
 impl FleetState {
-    /// Returns whether requests with this fingerprint have crashed too many upstreams to run again.
-    pub fn is_quarantined(&self, fingerprint: &Digest, now: Instant) -> bool {
-        lock(&self.crashes).is_quarantined(fingerprint, now)
+    /// Decides whether a request with this fingerprint may run, as far as equal ones crashed upstreams.
+    pub fn judge_request(&self, fingerprint: &Digest, request: RequestId, now: Instant) -> Verdict {
+        let turn = |crashes| self.trial_turn(fingerprint, crashes);
+        let verdict = lock(&self.crashes).judge(fingerprint, turn, now);
+        if verdict == Verdict::Trial {
+            self.announce_trial(*fingerprint, request, now);
+        }
+        verdict
+    }
+
+    /// Decides whether a request whose prompt has `parts` may run, as far as others with them crashed upstreams. Returns the verdict
+    /// with the part that it is about.
+    pub fn judge_parts(
+        &self,
+        parts: &[Digest],
+        request: RequestId,
+        now: Instant,
+    ) -> (Verdict, Option<Digest>) {
+        let turn = |part: &Digest, crashes| self.trial_turn(part, crashes);
+        let (verdict, part) = lock(&self.part_crashes).judge(parts, turn, now);
+        if let (Verdict::Trial, Some(part)) = (verdict, part) {
+            self.announce_trial(part, request, now);
+        }
+        (verdict, part)
+    }
+
+    /// Returns this host's turn for a trial of a fingerprint after so many crashes. Hosts take turns in an order of their own after each
+    /// crash, so that each hears of the trial before.
+    fn trial_turn(&self, fingerprint: &Digest, crashes: usize) -> TrialTurn {
+        let time = TRIAL_TURN + self.report_delay() * 2;
+        let (place, hosts) = self.peers().turn(&(fingerprint, crashes));
+        let turns = |count: usize| time * u32::try_from(count).unwrap_or(u32::MAX);
+        TrialTurn {
+            wait: turns(place),
+            period: turns(hosts),
+        }
+    }
+
+    /// Tells the other hosts that a request is let through as a trial.
+    fn announce_trial(&self, fingerprint: Digest, request: RequestId, now: Instant) {
+        let trial = CrashId {
+            fingerprint,
+            request,
+        };
+        lock(&self.trials).add(trial, Reach::Host, now);
+        self.request_report();
+    }
+
+    /// Holds this host's trials back until the outcome of others is known, which hosts within `found` let through.
+    pub(super) fn apply_trials(&self, trials: &[CrashId], found: Reach, now: Instant) {
+        for trial in trials {
+            if lock(&self.trials).add(*trial, found, now) {
+                let until = now + TRIAL_TIME;
+                lock(&self.crashes).hold_trials(&trial.fingerprint, until);
+                lock(&self.part_crashes).hold_trials(&trial.fingerprint, until);
+            }
+        }
     }
 
     /// Returns the upstreams that crashed on requests with this fingerprint, for the log.
@@ -152,8 +212,10 @@
             }
             let of_request = lock(&self.crashes).dismiss(crash, now);
             let of_part = lock(&self.part_crashes).dismiss(crash, now);
-            let seen = "another host reports so";
-            log_dismissal(&crash.fingerprint, &of_request, &of_part, seen);
+            if of_request.ends_suspicion || of_part.ends_suspicion {
+                let seen = "another host reports so";
+                log_dismissal(&crash.fingerprint, &of_request, &of_part, seen);
+            }
         }
     }
 
@@ -165,11 +227,6 @@
         crashes
     }
 
-    /// Returns the part of a prompt with `parts` that crashes upstreams.
-    pub fn crashing_part(&self, parts: &[Digest], now: Instant) -> Option<Digest> {
-        lock(&self.part_crashes).refused_part(parts, now)
-    }
-
     /// Returns the crashes of a part as far as they count, to store them; empty unless the part is suspected.
     pub fn part_crashes(&self, part: &Digest, now: Instant) -> Vec<(RequestId, UpstreamId)> {
         lock(&self.part_crashes).crashes_of(part, now)
--- a/src/process/forwarding/peers.rs
+++ b/src/process/forwarding/peers.rs
@@ -1,6 +1,7 @@
 //! The other hosts and their reports. Performs no I/O and reads no clock.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,7 @@
 use crate::process::forwarding::source::{Reach, Source};
 use crate::process::forwarding::usage::UsageTotals;
 use crate::process::message::CrashReport;
+use crate::process::shard::rendezvous_weight;
 
 /// The state of a host, or the sum of several hosts that a relay has heard of. Each report replaces the previous one of the same
 /// sender and reach, so that a lost report does no harm.
@@ -144,6 +146,8 @@
     peers: HashMap<HostId, Peer>,
     aggregates: HashMap<Source, Aggregate>,
     planner: RelayPlanner,
+    /// This host, as last planned.
+    own: Option<HostId>,
     role: Role,
     /// The incarnations that were replaced or have left, oldest first. Their late reports are dropped.
     ended: VecDeque<Incarnation>,
@@ -351,9 +355,19 @@
             .planner
             .plan(own, &hosts, fleet_size, max_direct_hosts, now);
         self.role = plan.role;
+        self.own = Some(own.host.clone());
         plan
     }
 
+    /// Returns this host's place, from 0, among all hosts that it knows in the order of their weight for `key`, and their number.
+    pub fn turn(&self, key: &impl Hash) -> (usize, usize) {
+        let own = self.own.as_deref().unwrap_or_default();
+        let own_weight = rendezvous_weight(key, own);
+        let others = self.peers.keys();
+        let before = others.filter(|other| rendezvous_weight(key, other) > own_weight);
+        (before.count(), self.known_hosts())
+    }
+
     /// Returns this host's part in the exchange, as last planned.
     pub fn role(&self) -> Role {
         self.role
--- a/src/process/forwarding/report_sections.rs
+++ b/src/process/forwarding/report_sections.rs
@@ -28,4 +28,6 @@
     StageChanges(Vec<OrderedStage>),
     /// The crashes that were recently found not to count against requests.
     DismissedCrashes(Vec<CrashId>),
+    /// The requests with suspected fingerprints that were recently let through as trials.
+    CrashTrials(Vec<CrashId>),
 }
--- a/src/process/message/idempotency.rs
+++ b/src/process/message/idempotency.rs
@@ -89,7 +89,7 @@
     }
 }
 
-/// A crash that is held against a fingerprint.
+/// A crash that is held against a fingerprint, or a trial that may end in one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct CrashId {
     /// The fingerprint.
--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -17,7 +17,7 @@
 
 pub use crash_quarantine::CrashQuarantine;
 pub use crash_table::{CrashTable, FINGERPRINT_TTL, MAX_CRASHES};
-pub use evidence::SAME_CRASH_WINDOW;
+pub use evidence::{SAME_CRASH_WINDOW, TrialTurn, Verdict};
 pub use evidence_table::Dismissal;
 pub use interrupted_upstreams::InterruptedUpstreams;
 pub use part_table::{COMMON_CAUSE_WINDOW, MIN_PART_CRASHES, PART_TTL, PartTable};
--- a/src/process/quarantine/crash_table.rs
+++ b/src/process/quarantine/crash_table.rs
@@ -5,8 +5,8 @@
 
 use crate::prelude::*;
 use crate::process::message::{CrashId, CrashReport};
-use crate::process::quarantine::evidence::Evidence;
-use crate::process::quarantine::evidence_table::{Dismissal, EvidenceRule, EvidenceTable};
+use crate::process::quarantine::evidence::{Evidence, EvidenceRule, TrialTurn, Verdict};
+use crate::process::quarantine::evidence_table::{Dismissal, EvidenceTable};
 
 /// The number of crashes from which a request is refused.
 pub const MAX_CRASHES: usize = 2;
@@ -76,6 +76,21 @@
         self.0.suspected(fingerprint, now).is_some()
     }
 
+    /// Decides whether a request with this fingerprint may run. `turn` gives this host's turn for a trial after so many crashes.
+    pub fn judge(
+        &mut self,
+        fingerprint: &Digest,
+        turn: impl FnOnce(usize) -> TrialTurn,
+        now: Instant,
+    ) -> Verdict {
+        self.0.judge(fingerprint, turn, now)
+    }
+
+    /// Lets no request with this fingerprint through as a trial before `until`, as another host does.
+    pub fn hold_trials(&mut self, fingerprint: &Digest, until: Instant) {
+        self.0.hold_trials(fingerprint, until);
+    }
+
     /// Returns the upstreams of the crashes of a fingerprint that count, for the log.
     pub fn crashed_upstreams(&self, fingerprint: &Digest, now: Instant) -> Vec<UpstreamId> {
         let crashes = self.0.get(fingerprint, now).into_iter();
--- a/src/process/quarantine/evidence.rs
+++ b/src/process/quarantine/evidence.rs
@@ -59,12 +59,74 @@
     }
 }
 
+/// How much evidence makes a fingerprint suspected, and how long it stays so.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EvidenceRule {
+    /// The crashes, apart from each other, from which a fingerprint is suspected.
+    pub min_crashes: usize,
+    /// The time within which crashes of different upstreams count as one, because a single disruption may have ended them all.
+    pub common_cause_window: Duration,
+    /// How long a fingerprint is kept after its last crash.
+    pub ttl: Duration,
+    /// The time from the crash that made a fingerprint suspected to the first trial; doubles with each crash after it.
+    pub trial_delay: Duration,
+}
+
+impl Default for EvidenceRule {
+    fn default() -> Self {
+        Self {
+            min_crashes: 2,
+            common_cause_window: Duration::ZERO,
+            ttl: Duration::from_hours(1),
+            trial_delay: Duration::from_secs(5),
+        }
+    }
+}
+
+/// The number of failed trials after which a fingerprint stays refused until its evidence expires. Each costs an upstream.
+const MAX_FAILED_TRIALS: usize = 2;
+
+/// When a host may let a request with a suspected fingerprint through, after the delay for all hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TrialTurn {
+    /// The time until its first turn.
+    pub wait: Duration,
+    /// The time in which all hosts have one.
+    pub period: Duration,
+}
+
+/// Whether a request may run, as far as its fingerprint tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Its fingerprint is not suspected.
+    Allowed,
+    /// It may run, at one upstream, to show whether its fingerprint is suspected for a reason.
+    Trial,
+    /// It must not run.
+    Refused {
+        /// The time after which this host lets the next request through.
+        retry_after: Duration,
+    },
+}
+
+/// This host's next trial of a fingerprint.
+#[derive(Debug, Clone, Copy)]
+struct Trial {
+    /// The crashes that it follows.
+    crashes: usize,
+    at: Instant,
+    period: Duration,
+}
+
 /// The crashes held against one fingerprint, oldest first.
 #[derive(Debug)]
 pub struct Evidence {
     crashes: SmallVec<[Crash; 2]>,
     /// When a crash was last reported.
     last_reported: Instant,
+    trial: Option<Trial>,
+    /// The time until which the outcome of another host's trial may not be known.
+    held_until: Option<Instant>,
 }
 
 impl Evidence {
@@ -73,6 +135,8 @@
         Self {
             crashes: SmallVec::new(),
             last_reported: now,
+            trial: None,
+            held_until: None,
         }
     }
 
@@ -106,12 +170,63 @@
     pub fn dismiss(&mut self, is_disproved: impl Fn(&Crash) -> bool) -> SmallVec<[Crash; 2]> {
         let counting = self.crashes.iter_mut().filter(|crash| !crash.is_dismissed);
         let disproved = counting.filter(|crash| is_disproved(crash));
-        disproved
+        let dismissed: SmallVec<_> = disproved
             .map(|crash| {
                 crash.is_dismissed = true;
                 crash.clone()
             })
-            .collect()
+            .collect();
+        if !dismissed.is_empty() {
+            self.trial = None;
+        }
+        dismissed
+    }
+
+    /// Lets no request through as a trial before `until`, as another host does.
+    pub fn hold_trials(&mut self, until: Instant) {
+        self.held_until = self.held_until.max(Some(until));
+    }
+
+    /// Decides whether a request with this fingerprint, which is suspected, may run. `turn` gives this host's turn for a trial after so
+    /// many crashes.
+    pub fn judge(
+        &mut self,
+        rule: &EvidenceRule,
+        turn: impl FnOnce(usize) -> TrialTurn,
+        now: Instant,
+    ) -> Verdict {
+        let expires_in = rule
+            .ttl
+            .saturating_sub(now.saturating_duration_since(self.last_reported));
+        let crashes = crashes_apart(self.counting(), rule.common_cause_window).len();
+        let failed_trials = crashes.saturating_sub(rule.min_crashes);
+        if failed_trials >= MAX_FAILED_TRIALS {
+            let retry_after = expires_in;
+            return Verdict::Refused { retry_after };
+        }
+        let delay = rule.trial_delay * (1 << failed_trials);
+        let known = self.trial.filter(|trial| trial.crashes == crashes);
+        let mut trial = known.unwrap_or_else(|| {
+            let turn = turn(crashes);
+            let last_crash = self.counting().map(|crash| crash.at).max();
+            Trial {
+                crashes,
+                at: last_crash.unwrap_or(now) + delay + turn.wait,
+                period: turn.period,
+            }
+        });
+        let allowed_at = trial.at.max(self.held_until.unwrap_or(trial.at));
+        let left = allowed_at.saturating_duration_since(now);
+        if left.is_zero() {
+            trial.at = now + trial.period.max(delay);
+        }
+        self.trial = Some(trial);
+        if left.is_zero() {
+            Verdict::Trial
+        } else {
+            let retry_after = left.min(expires_in);
+            Verdict::Refused { retry_after }
+        }
     }
 
     /// Returns the crashes that count.
--- a/src/process/quarantine/evidence_table.rs
+++ b/src/process/quarantine/evidence_table.rs
@@ -2,34 +2,15 @@
 
 use std::collections::HashMap;
 use std::ops::Range;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use smallvec::SmallVec;
 
 use crate::prelude::*;
 use crate::process::message::{CrashId, CrashReport};
-use crate::process::quarantine::evidence::{Crash, Evidence, crashes_apart};
-
-/// How much evidence makes a fingerprint suspected.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EvidenceRule {
-    /// The crashes, apart from each other, from which a fingerprint is suspected.
-    pub min_crashes: usize,
-    /// The time within which crashes of different upstreams count as one, because a single disruption may have ended them all.
-    pub common_cause_window: Duration,
-    /// How long a fingerprint is kept after its last crash.
-    pub ttl: Duration,
-}
-
-impl Default for EvidenceRule {
-    fn default() -> Self {
-        Self {
-            min_crashes: 2,
-            common_cause_window: Duration::ZERO,
-            ttl: Duration::from_hours(1),
-        }
-    }
-}
+use crate::process::quarantine::evidence::{
+    Crash, Evidence, EvidenceRule, TrialTurn, Verdict, crashes_apart,
+};
 
 /// What came of a sign that requests did not cause the crashes held against them.
 #[derive(Debug, Default, Clone)]
@@ -86,6 +67,29 @@
         evidence.filter(|evidence| self.is_enough(evidence.counting()))
     }
 
+    /// Decides whether a request with this fingerprint may run. `turn` gives this host's turn for a trial after so many crashes.
+    pub fn judge(
+        &mut self,
+        fingerprint: &Digest,
+        turn: impl FnOnce(usize) -> TrialTurn,
+        now: Instant,
+    ) -> Verdict {
+        if self.suspected(fingerprint, now).is_none() {
+            return Verdict::Allowed;
+        }
+        let evidence = self.entries.get_mut(fingerprint);
+        evidence.map_or(Verdict::Allowed, |evidence| {
+            evidence.judge(&self.rule, turn, now)
+        })
+    }
+
+    /// Lets no request with this fingerprint through as a trial before `until`, as another host does.
+    pub fn hold_trials(&mut self, fingerprint: &Digest, until: Instant) {
+        if let Some(evidence) = self.entries.get_mut(fingerprint) {
+            evidence.hold_trials(until);
+        }
+    }
+
     /// Returns whether these crashes make a fingerprint suspected.
     pub fn is_enough<'a>(&self, crashes: impl Iterator<Item = &'a Crash>) -> bool {
         crashes_apart(crashes, self.rule.common_cause_window).len() >= self.rule.min_crashes
--- a/src/process/quarantine/part_table.rs
+++ b/src/process/quarantine/part_table.rs
@@ -6,8 +6,8 @@
 use crate::prelude::*;
 use crate::process::message::{CrashId, CrashReport};
 use crate::process::quarantine::SAME_CRASH_WINDOW;
-use crate::process::quarantine::evidence::{Crash, Evidence};
-use crate::process::quarantine::evidence_table::{Dismissal, EvidenceRule, EvidenceTable};
+use crate::process::quarantine::evidence::{Crash, Evidence, EvidenceRule, TrialTurn, Verdict};
+use crate::process::quarantine::evidence_table::{Dismissal, EvidenceTable};
 
 /// The number of crashes from which requests with a part are refused.
 pub const MIN_PART_CRASHES: usize = 3;
@@ -18,6 +18,9 @@
 /// How long requests with a part are refused after its last crash.
 pub const PART_TTL: Duration = Duration::from_mins(5);
 
+/// The time until the first trial of a part; longer than for a whole request, as each crash breaks off the many requests of an engine.
+const PART_TRIAL_DELAY: Duration = Duration::from_secs(10);
+
 /// The crashes of a bounded number of parts of prompts.
 ///
 /// A part is suspected if requests with it crashed upstreams several times. The requests that share a suspected part may share others
@@ -32,6 +35,7 @@
             min_crashes: MIN_PART_CRASHES,
             common_cause_window: COMMON_CAUSE_WINDOW,
             ttl: PART_TTL,
+            trial_delay: PART_TRIAL_DELAY,
         };
         Self(EvidenceTable::new(capacity, rule))
     }
@@ -70,7 +74,27 @@
         self.0.dismiss_crashes_of(upstream, started, time, now)
     }
 
-    /// Returns the part of a prompt with `parts` for which a request is refused.
+    /// Decides whether a request whose prompt has `parts` may run. `turn` gives this host's turn for a trial of a part after so many
+    /// crashes. Returns the verdict with the part that it is about.
+    pub fn judge(
+        &mut self,
+        parts: &[Digest],
+        turn: impl FnOnce(&Digest, usize) -> TrialTurn,
+        now: Instant,
+    ) -> (Verdict, Option<Digest>) {
+        let Some(part) = self.refused_part(parts, now) else {
+            return (Verdict::Allowed, None);
+        };
+        let turn = |crashes| turn(&part, crashes);
+        (self.0.judge(&part, turn, now), Some(part))
+    }
+
+    /// Lets no request with this fingerprint through as a trial before `until`, as another host does.
+    pub fn hold_trials(&mut self, fingerprint: &Digest, until: Instant) {
+        self.0.hold_trials(fingerprint, until);
+    }
+
+    /// Returns the part of a prompt with `parts` for which a request is refused, trials apart.
     pub fn refused_part(&self, parts: &[Digest], now: Instant) -> Option<Digest> {
         let is_refused = |digest: &&Digest| {
             let Some(part) = self.0.suspected(digest, now) else {
--- a/src/request/forward/attempt.rs
+++ b/src/request/forward/attempt.rs
@@ -409,15 +409,12 @@
     }
 
     fn report_crash_of(&self, call: &Call, fingerprints: impl IntoIterator<Item = Digest>) {
-        // Callers choose ids of any length; the first 16 bytes of the hash fit into a `RequestId`.
-        let hash = blake3::hash(call.head.id.as_bytes());
-        let mut request = [0; 16];
-        request.copy_from_slice(&hash.as_bytes()[..16]);
+        let request = call.quarantine_id();
         let now = self.cx.clock.now();
         for fingerprint in fingerprints {
             let report = CrashReport {
                 fingerprint,
-                request: RequestId::from_le_bytes(request),
+                request,
                 attempt: 1,
                 upstream: self.instance.id.clone(),
             };
--- a/src/request/forward/call.rs
+++ b/src/request/forward/call.rs
@@ -89,6 +89,15 @@
         }
     }
 
+    /// Returns the id under which the quarantine knows the request. Callers choose ids of any length; the first 16 bytes of the hash fit
+    /// into a `RequestId`.
+    pub fn quarantine_id(&self) -> RequestId {
+        let hash = blake3::hash(self.head.id.as_bytes());
+        let mut id = [0; 16];
+        id.copy_from_slice(&hash.as_bytes()[..16]);
+        RequestId::from_le_bytes(id)
+    }
+
     /// Returns the hash by which the quarantine recognizes equal requests.
     pub fn fingerprint(&self) -> Digest {
         let customer = self.customer.as_ref().map_or("", |customer| &*customer.id);
--- a/src/request/forward/flow.rs
+++ b/src/request/forward/flow.rs
@@ -13,7 +13,7 @@
 use crate::process::forwarding::selection::Selection;
 use crate::process::forwarding::usage::ChargeOutcome;
 use crate::process::metrics;
-use crate::process::quarantine::short_digits;
+use crate::process::quarantine::{Verdict, short_digits};
 use crate::request::forward::call::{Call, CallHead};
 use crate::request::forward::codec::CallCodec;
 use crate::request::forward::generation;
@@ -124,7 +124,7 @@
     if call.deadline <= now {
         return Err(late_refusal(cx));
     }
-    check_quarantine(cx, call)?;
+    let clearance = check_quarantine(cx, call)?;
     let Some(service) = call.route.pick_service(rand::random()) else {
         let message = "route has no service; correct the configuration";
         return Err(Refusal::not_run(RefusalKind::Unavailable, message)
@@ -140,9 +140,9 @@
         .and_then(|service| service.engine);
     let response: BoxFuture<'_, Result<ForwardResponse, Refusal>> = match engine {
         Some(engine) if call.route.repeat.is_stream() => {
-            generation::run(cx, call, service, engine, record).boxed()
+            generation::run(cx, call, service, engine, clearance, record).boxed()
         }
-        _ => plain::run(cx, call, service, record).boxed(),
+        _ => plain::run(cx, call, service, clearance, record).boxed(),
     };
     let response = response.await;
     // A caller that disconnects drops this future and gets no refund: its request may have run.
@@ -218,32 +218,58 @@
         .with_figures(format!("homes={homes} evacuated={evacuated}")))
 }
 
+/// How a request may run that the quarantine lets through.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Clearance {
+    /// Like any other.
+    Full,
+    /// As a trial of what crashed upstreams: at one upstream.
+    Trial,
+}
+
 /// Checks that neither equal requests nor a part of the prompt have crashed too many upstreams.
 ///
 /// # Errors
 /// Returns `Unavailable`: the request may be valid, so a status that blames the caller would be wrong.
-pub fn check_quarantine(cx: &ForwardContext, call: &Call) -> Result<(), Refusal> {
+pub fn check_quarantine(cx: &ForwardContext, call: &Call) -> Result<Clearance, Refusal> {
     let now = cx.clock.now();
-    let crashing_part = cx.state.crashing_part(&call.part_fingerprints(), now);
     let fingerprint = call.fingerprint();
-    let (message, figures) = if cx.state.is_quarantined(&fingerprint, now) {
-        let message = "equal requests crashed their upstreams; don't repeat it";
-        let upstreams = cx.state.crashed_upstreams(&fingerprint, now).join(",");
-        let fingerprint = short_digits(&fingerprint);
-        (
-            message,
-            format!("fingerprint={fingerprint} crashed={upstreams}"),
-        )
-    } else if let Some(part) = crashing_part {
-        let message =
-            "requests with a part of this prompt crashed their upstreams; don't repeat it";
-        (message, format!("part={}", short_digits(&part)))
-    } else {
-        return Ok(());
+    let request = call.quarantine_id();
+    let of_request = cx.state.judge_request(&fingerprint, request, now);
+    let (of_parts, part) = match of_request {
+        Verdict::Refused { .. } => (Verdict::Allowed, None),
+        _ => cx
+            .state
+            .judge_parts(&call.part_fingerprints(), request, now),
+    };
+    let (retry_after, message, figures) = match (of_request, of_parts) {
+        (Verdict::Refused { retry_after }, _) => {
+            let upstreams = cx.state.crashed_upstreams(&fingerprint, now).join(",");
+            let fingerprint = short_digits(&fingerprint);
+            let message =
+                "equal requests crashed their upstreams; repeat after the time in Retry-After";
+            let figures = format!("fingerprint={fingerprint} crashed={upstreams}");
+            (retry_after, message, figures)
+        }
+        (_, Verdict::Refused { retry_after }) => {
+            let message = "requests with a part of this prompt crashed their upstreams; repeat after the time in Retry-After";
+            let part = part.map(|part| short_digits(&part)).unwrap_or_default();
+            (retry_after, message, format!("part={part}"))
+        }
+        (Verdict::Allowed, Verdict::Allowed) => return Ok(Clearance::Full),
+        _ => {
+            let suspected = part.unwrap_or(fingerprint);
+            log::info!(
+                target: "quarantine",
+                "request {} is let through as a trial of fingerprint={}",
+                call.head.id,
+                short_digits(&suspected),
+            );
+            return Ok(Clearance::Trial);
+        }
     };
     let refusal = Refusal::not_run(RefusalKind::Unavailable, message);
-    let refusal = refusal.with_retry_after(cx.settings.default_deadline);
-    Err(refusal.with_figures(figures))
+    Err(refusal.with_retry_after(retry_after).with_figures(figures))
 }
 
 /// Creates the refusal of a request that no upstream served. `possible_runs` counts the attempts that ran or may have run;
--- a/src/request/forward/generation.rs
+++ b/src/request/forward/generation.rs
@@ -20,7 +20,7 @@
 };
 use crate::request::forward::call::{Call, CallPart, TokenCounts};
 use crate::request::forward::flow::{
-    ForwardContext, check_drain_deadline, check_quarantine, unserved_refusal,
+    Clearance, ForwardContext, check_drain_deadline, check_quarantine, unserved_refusal,
 };
 use crate::request::forward::generation::prefill::PrefilledPrompt;
 use crate::request::forward::generation::reservation::{DecodeCapacity, Reservation};
@@ -50,6 +50,8 @@
     resume_capacity: Option<DecodeCapacity>,
     /// Since when a decode engine has kept memory for the request.
     held_since: Option<Instant>,
+    /// Whether the quarantine lets it run only once more.
+    clearance: Clearance,
 }
 
 /// Runs a generation up to the head of its stream.
@@ -61,6 +63,7 @@
     call: &Arc<Call>,
     service: &ModelId,
     engine: EngineLimits,
+    clearance: Clearance,
     record: &mut ForwardRecord,
 ) -> Result<ForwardResponse, Refusal> {
     let mut generation = Generation {
@@ -76,6 +79,7 @@
         possible_runs: 0,
         resume_capacity: None,
         held_since: None,
+        clearance,
     };
     let hold_time = cx
         .state
@@ -85,7 +89,7 @@
     let capacity = generation.wait_for_capacity(record).await?;
     generation.held_since = Some(cx.clock.now());
     // Equal requests may have crashed engines meanwhile.
-    check_quarantine(cx, call)?;
+    generation.check_quarantine()?;
     let mut prompt = if capacity.attempt.includes_prefill() {
         None
     } else {
@@ -184,6 +188,14 @@
             .record_generation(&self.service, self.final_kv_tokens(), occupied, now);
     }
 
+    /// Checks that the quarantine lets the request run; a trial that has not run yet is let through already.
+    fn check_quarantine(&mut self) -> Result<(), Refusal> {
+        if self.clearance == Clearance::Full || self.possible_runs > 0 {
+            self.clearance = check_quarantine(&self.cx, &self.call)?;
+        }
+        Ok(())
+    }
+
     /// Returns whether another decode call may be made before the deadline without repeating a request that must run once.
     pub fn may_try(&self) -> bool {
         let repeatable = self.call.route.repeat == RepeatPolicy::ResumableStream;
@@ -304,7 +316,7 @@
             None => self.reserve_untried(prompt.as_deref(), record).await,
         };
         let mut capacity = capacity.ok_or(DecodeFailure::NoEngine)?;
-        if check_quarantine(&self.cx, &self.call).is_err() {
+        if self.check_quarantine().is_err() {
             record.note("request crashes its engines");
             return Err(DecodeFailure::NoEngine);
         }
--- a/src/request/forward/plain.rs
+++ b/src/request/forward/plain.rs
@@ -15,7 +15,9 @@
     next_cold_chance,
 };
 use crate::request::forward::call::{Call, CallPart};
-use crate::request::forward::flow::{ForwardContext, check_drain_deadline, unserved_refusal};
+use crate::request::forward::flow::{
+    Clearance, ForwardContext, check_drain_deadline, unserved_refusal,
+};
 use crate::request::forward::record::ForwardRecord;
 use crate::request::forward::response::ForwardResponse;
 use crate::version::forwarding::RepeatPolicy;
@@ -36,7 +38,7 @@
     possible_runs: u32,
 }
 
-/// Sends a call to an upstream of `service`, and to others as long as it may be retried.
+/// Sends a call to an upstream of `service`, and to others as long as it may be retried. A trial may run at one only.
 ///
 /// # Errors
 /// Returns a refusal that says whether the call may have run.
@@ -44,6 +46,7 @@
     cx: &Arc<ForwardContext>,
     call: &Call,
     service: &ModelId,
+    clearance: Clearance,
     record: &mut ForwardRecord,
 ) -> Result<ForwardResponse, Refusal> {
     let mut attempts = CallAttempts {
@@ -69,6 +72,10 @@
         {
             break;
         }
+        if clearance == Clearance::Trial && attempts.possible_runs > 0 {
+            record.note("a trial runs once");
+            break;
+        }
         let Some(candidate) = attempts.choose_upstream() else {
             match attempts
                 .wait_for_cold_upstream(&mut cold_wait, record)
--- a/tests/suite/crash_evidence.rs
+++ b/tests/suite/crash_evidence.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use hibiscusspread::process::message::CrashReport;
-use hibiscusspread::process::quarantine::{CrashTable, InterruptedUpstreams, SAME_CRASH_WINDOW};
+use hibiscusspread::process::quarantine::{
+    CrashTable, InterruptedUpstreams, SAME_CRASH_WINDOW, TrialTurn, Verdict,
+};
 
 use crate::platform_stand_in::{Answer, Behaviour, Platform};
 
@@ -158,3 +160,93 @@
         assert_eq!(is_refused, is_quarantined, "{started} {end}");
     }
 }
+
+/// Guards against equal requests that are refused for an hour because unrelated crashes broke two of them off, and against a caller
+/// that comes back at the stated time and is refused again.
+#[tokio::test]
+async fn request_is_served_after_the_stated_time() {
+    let platform = Platform::start().await;
+    set_behaviour(&platform, "s", Behaviour::LoseAnswer);
+    for _ in 0..2 {
+        let answer = platform.call("POST", "/book/1").await;
+        assert_eq!(answer.status, 502, "{answer:?}");
+        // All crash: other processes serve from now on.
+        for id in ["s-0", "s-1"] {
+            platform.register_restarted(id).await;
+        }
+        tokio::time::sleep(SAME_CRASH_WINDOW).await;
+    }
+    set_behaviour(&platform, "s", Behaviour::Run);
+    let answer = platform.call("POST", "/book/1").await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    let retry_after = answer.headers.get("retry-after").expect("Retry-After");
+    let retry_after: f64 = retry_after.to_str().expect("text").parse().expect("number");
+    assert!(retry_after < 12.0, "{retry_after}");
+    tokio::time::sleep(Duration::from_secs_f64(retry_after)).await;
+    for _ in 0..3 {
+        let answer = platform.call("POST", "/book/1").await;
+        assert!(is_served(&answer), "{answer:?}");
+    }
+}
+
+/// Guards against a trial that crashes one upstream after the other.
+#[tokio::test]
+async fn trial_runs_at_one_upstream() {
+    let platform = Platform::start().await;
+    set_behaviour(&platform, "s", Behaviour::LoseAnswer);
+    for _ in 0..2 {
+        let answer = platform.call("POST", "/read/1").await;
+        assert_eq!(answer.status, 502, "{answer:?}");
+        // One process crashes once, so that the next call finds others.
+        for id in ["s-0", "s-1"] {
+            platform.register_restarted(id).await;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    let before = platform.seen_by("s").len();
+    let deadline = Instant::now() + Duration::from_secs(12);
+    while platform.seen_by("s").len() == before {
+        assert!(Instant::now() < deadline, "no trial");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        platform.call("POST", "/read/1").await;
+    }
+    assert_eq!(platform.seen_by("s").len(), before + 1);
+    let answer = platform.call("POST", "/read/1").await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+}
+
+/// Guards against trials of a request that does crash its upstreams: they are few, one at a time and rarer each time.
+#[test]
+fn failed_trials_are_few() {
+    let fingerprint = [1; 32];
+    let mut table = CrashTable::new(10);
+    let start = Instant::now();
+    let report = |request: u128| CrashReport {
+        fingerprint,
+        request,
+        attempt: 1,
+        upstream: format!("u{request}").into(),
+    };
+    let turn = |_| TrialTurn {
+        wait: Duration::ZERO,
+        period: Duration::from_secs(1),
+    };
+    let (mut now, mut crashes) = (start, vec![start]);
+    table.record(&report(0), Some(1), start);
+    while now < start + Duration::from_mins(50) {
+        now += Duration::from_millis(100);
+        match table.judge(&fingerprint, turn, now) {
+            Verdict::Allowed => assert_eq!(crashes.len(), 1, "refused from the second crash"),
+            Verdict::Trial => {}
+            Verdict::Refused { retry_after } => {
+                assert!(retry_after > Duration::ZERO);
+                continue;
+            }
+        }
+        table.record(&report(crashes.len() as u128), Some(1), now);
+        crashes.push(now);
+    }
+    let gaps = crashes.windows(2).map(|pair| pair[1] - pair[0]);
+    assert_eq!(crashes.len(), 4, "{:?}", gaps.collect::<Vec<_>>());
+    assert!(crashes[3] - crashes[2] >= (crashes[2] - crashes[1]) * 2);
+}
