Let a completed request refute crashes on hosts of the project's own protocol

Callers of these hosts were refused equal requests for an hour (422) after two unrelated crashes of upstreams, although the request ran to its end after each: `CrashQuarantine` counted crashes only, as the path of forwarded requests did.

The end of a completion and a successful answer of a service dismiss the crashes that the host knew of when the call was sent, by the same rule. The probe that confirms a crash stays.

Evidence: `quarantine::request_that_ran_since_is_not_refused`; with the rule switched off it fails at the second crash.

--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -8,6 +8,7 @@
 mod part_table;
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use async_trait::async_trait;
 
@@ -30,6 +31,9 @@
     /// Reports that an upstream broke the request off while running it. This counts as a crash only if a probe then
     /// finds the upstream down. Returns when the other hosts know of the crash, or after a bounded time.
     async fn report_interruption(&self, report: CrashReport, address: SocketAddr);
+    /// Records that an upstream ran a request, which was sent at `sent_at`, to its end: equal ones did not cause the crashes that this host
+    /// knew of by then.
+    fn record_sound(&self, fingerprint: &Digest, sent_at: Instant);
 }
 
 /// Probes whether an upstream is down.
--- a/src/process/quarantine/crash_quarantine.rs
+++ b/src/process/quarantine/crash_quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use tokio::task::JoinSet;
@@ -115,6 +115,16 @@
         table.0.is_quarantined(fingerprint, self.clock.now())
     }
 
+    fn record_sound(&self, fingerprint: &Digest, sent_at: Instant) {
+        let mut table = self.tables.lock(fingerprint);
+        let dismissal = table.0.record_sound(fingerprint, sent_at, self.clock.now());
+        drop(table);
+        for crash in &dismissal.crashes {
+            log::info!(upstream:% = crash.upstream, request:% = format!("{:032x}", crash.request);
+                "crash no longer counts: an equal request ran to its end since");
+        }
+    }
+
     async fn report_interruption(&self, report: CrashReport, address: SocketAddr) {
         if !self.probe.is_down(address).await {
             return;
--- a/src/request/flow/completion.rs
+++ b/src/request/flow/completion.rs
@@ -3,6 +3,7 @@
 mod admission;
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use smallvec::SmallVec;
 
@@ -71,6 +72,7 @@
 }
 
 struct ActiveStream {
+    sent_at: Instant,
     held: HeldUpstreams,
     stream: Box<dyn TokenStream>,
 }
@@ -157,6 +159,8 @@
         let output_tokens = Tokens::from(self.cursor.offset());
         if let Some(active) = self.active.take() {
             active.held.finish(output_tokens);
+            let quarantine = &self.cx.quarantine;
+            quarantine.record_sound(&self.fingerprint, active.sent_at);
         }
         self.charged = None;
         self.record.answered();
@@ -232,12 +236,17 @@
             recheck_key(&self.cx, &self.admitted, self.run)?;
             check_quarantine(&self.cx, &self.fingerprint, self.run)?;
             let job = self.attempt_job(request);
+            let sent_at = self.cx.clock.now();
             match open_stream(&held, job).await {
                 Ok((stream, prompt_tokens)) => {
                     self.count_prompt(prompt_tokens);
                     self.run = Run::Unknown;
                     self.resumed_at = None;
-                    self.active = Some(ActiveStream { held, stream });
+                    self.active = Some(ActiveStream {
+                        sent_at,
+                        held,
+                        stream,
+                    });
                     return Ok(());
                 }
                 Err(AttemptError { upstream, error }) => {
--- a/src/request/flow/service_call.rs
+++ b/src/request/flow/service_call.rs
@@ -134,10 +134,14 @@
         if let Some(claim) = &mut claim {
             claim.mark_sent();
         }
+        let sent_at = cx.clock.now();
         let client = cx.upstreams.service(&held.target.address.to_string());
         match client.call(call.clone()).await {
             Ok(response) => {
                 held.finish(0);
+                if (200..300).contains(&response.status) {
+                    cx.quarantine.record_sound(&fingerprint, sent_at);
+                }
                 if let Some(charged) = &mut charged {
                     charged.use_tokens(cost);
                 }
--- a/tests/suite/quarantine.rs
+++ b/tests/suite/quarantine.rs
@@ -245,6 +245,33 @@
     );
 }
 
+/// Guards against a request that is refused for unrelated crashes of upstreams although it ran to its end after each.
+#[tokio::test(start_paused = true)]
+async fn request_that_ran_since_is_not_refused() {
+    let (probe, clock) = (
+        Arc::new(ManualProbe::default()),
+        Arc::new(ManualClock::default()),
+    );
+    let quarantine = CrashQuarantine::new(clock.clone(), probe.clone());
+    probe.down.store(true, Ordering::SeqCst);
+    for request in 0..4 {
+        clock.advance(SAME_CRASH_WINDOW);
+        let report = report(1, request, 1);
+        quarantine.report_interruption(report, any_loopback()).await;
+        assert!(!quarantine.is_quarantined(&[1; 32]), "{request}");
+        // One that was sent before says nothing.
+        quarantine.record_sound(&[1; 32], clock.now());
+        clock.advance(Duration::from_millis(1));
+        quarantine.record_sound(&[1; 32], clock.now());
+    }
+    for request in 10..12 {
+        clock.advance(SAME_CRASH_WINDOW);
+        let report = report(1, request, 1);
+        quarantine.report_interruption(report, any_loopback()).await;
+    }
+    assert!(quarantine.is_quarantined(&[1; 32]));
+}
+
 /// Starts a host with one decode engine, `count` prefill engines and a plain service. The engines crash on the word
 /// "poison".
 async fn start(count: usize, service: SocketAddr) -> (Node, Vec<EmulatorServer>) {
