--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -1,11 +1,13 @@
 //! Refusal of requests that keep crashing the upstreams which run them.
 
+mod crash;
 mod crash_quarantine;
 mod crash_table;
 mod evidence;
 mod evidence_table;
 mod interrupted_upstreams;
 mod part_table;
+mod trials;
 
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -16,12 +18,13 @@
 use crate::process::idempotency::hash_parts;
 use crate::process::message::CrashReport;
 
+pub use crash::SAME_CRASH_WINDOW;
 pub use crash_quarantine::CrashQuarantine;
 pub use crash_table::{CrashTable, FINGERPRINT_TTL, MAX_CRASHES};
-pub use evidence::{SAME_CRASH_WINDOW, TrialTurn, Verdict};
 pub use evidence_table::Dismissal;
 pub use interrupted_upstreams::InterruptedUpstreams;
 pub use part_table::{COMMON_CAUSE_WINDOW, MIN_PART_CRASHES, PART_TTL, PartTable};
+pub use trials::{TrialTurn, Verdict};
 
 /// Decides whether a request may run, by the crashes that it has caused.
 #[async_trait]
--- a/src/process/quarantine/crash_table.rs
+++ b/src/process/quarantine/crash_table.rs
@@ -5,8 +5,9 @@
 
 use crate::prelude::*;
 use crate::process::message::{CrashId, CrashReport};
-use crate::process::quarantine::evidence::{Evidence, EvidenceRule, TrialTurn, Verdict};
+use crate::process::quarantine::evidence::{Evidence, EvidenceRule};
 use crate::process::quarantine::evidence_table::{Dismissal, EvidenceTable};
+use crate::process::quarantine::trials::{TrialTurn, Verdict};
 
 /// The number of crashes from which a request is refused.
 pub const MAX_CRASHES: usize = 2;
--- a/src/process/quarantine/evidence.rs
+++ b/src/process/quarantine/evidence.rs
@@ -4,60 +4,8 @@
 
 use smallvec::SmallVec;
 
-use crate::prelude::*;
-use crate::process::message::CrashReport;
-
-/// The shortest time for which an upstream that crashed is gone. Reports of one upstream from different requests count as the same
-/// crash for that long: if the same body was sent several times at once, one crash interrupts all of these requests.
-pub const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
-
-/// The crashes kept for each fingerprint: enough to tell the parts of the same requests apart.
-const MAX_KEPT_CRASHES: usize = 8;
-
-/// A crash of an upstream while it ran a request.
-#[derive(Debug, Clone)]
-pub struct Crash {
-    /// The request that the upstream was running.
-    pub request: RequestId,
-    /// The attempt that it was running.
-    pub attempt: AttemptNo,
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// The start of its process in Unix milliseconds; `None` if this host doesn't know it.
-    pub started: Option<u64>,
-    /// When this host learned of it.
-    pub at: Instant,
-    /// Whether something seen since shows that the request did not cause it.
-    is_dismissed: bool,
-}
-
-impl Crash {
-    /// Creates a crash of the process that started at `started`, of which this host learns now.
-    pub fn new(report: &CrashReport, started: Option<u64>, now: Instant) -> Self {
-        Self {
-            request: report.request,
-            attempt: report.attempt,
-            upstream: report.upstream.clone(),
-            started,
-            at: now,
-            is_dismissed: false,
-        }
-    }
-
-    fn is_same(&self, other: &Self) -> bool {
-        self.request == other.request && self.attempt == other.attempt
-    }
-
-    /// Returns whether one end of an upstream, or one disruption of several, is the cause of both this crash and an earlier one.
-    fn has_common_cause(&self, earlier: &Self, common_cause_window: Duration) -> bool {
-        let elapsed = self.at.saturating_duration_since(earlier.at);
-        let is_same_process = match (self.started, earlier.started) {
-            (Some(started), Some(before)) => started == before,
-            _ => self.request != earlier.request && elapsed < SAME_CRASH_WINDOW,
-        };
-        (self.upstream == earlier.upstream && is_same_process) || elapsed < common_cause_window
-    }
-}
+use crate::process::quarantine::crash::{Crash, MAX_KEPT_CRASHES, crashes_apart};
+use crate::process::quarantine::trials::{TrialTurn, Trials, Verdict};
 
 /// How much evidence makes a fingerprint suspected, and how long it stays so.
 #[derive(Debug, Clone, PartialEq)]
@@ -86,47 +34,13 @@
 /// The number of failed trials after which a fingerprint stays refused until its evidence expires. Each costs an upstream.
 const MAX_FAILED_TRIALS: usize = 2;
 
-/// When a host may let a request with a suspected fingerprint through, after the delay for all hosts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct TrialTurn {
-    /// The time until its first turn.
-    pub wait: Duration,
-    /// The time in which all hosts have one.
-    pub period: Duration,
-}
-
-/// Whether a request may run, as far as its fingerprint tells.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// Its fingerprint is not suspected.
-    Allowed,
-    /// It may run, at one upstream, to show whether its fingerprint is suspected for a reason.
-    Trial,
-    /// It must not run.
-    Refused {
-        /// The time after which this host lets the next request through.
-        retry_after: Duration,
-    },
-}
-
-/// This host's next trial of a fingerprint.
-#[derive(Debug, Clone, Copy)]
-struct Trial {
-    /// The crashes that it follows.
-    crashes: usize,
-    at: Instant,
-    period: Duration,
-}
-
 /// The crashes held against one fingerprint, oldest first.
 #[derive(Debug)]
 pub struct Evidence {
     crashes: SmallVec<[Crash; 2]>,
     /// When a crash was last reported.
     last_reported: Instant,
-    trial: Option<Trial>,
-    /// The time until which the outcome of another host's trial may not be known.
-    held_until: Option<Instant>,
+    trials: Trials,
 }
 
 impl Evidence {
@@ -135,8 +49,7 @@
         Self {
             crashes: SmallVec::new(),
             last_reported: now,
-            trial: None,
-            held_until: None,
+            trials: Trials::default(),
         }
     }
 
@@ -177,14 +90,14 @@
             })
             .collect();
         if !dismissed.is_empty() {
-            self.trial = None;
+            self.trials.reset();
         }
         dismissed
     }
 
     /// Lets no request through as a trial before `until`, as another host does.
     pub fn hold_trials(&mut self, until: Instant) {
-        self.held_until = self.held_until.max(Some(until));
+        self.trials.hold(until);
     }
 
     /// Decides whether a request with this fingerprint, which is suspected, may run. `turn` gives this host's turn for a trial after so
@@ -205,22 +118,9 @@
             return Verdict::Refused { retry_after };
         }
         let delay = rule.trial_delay * (1 << failed_trials);
-        let known = self.trial.filter(|trial| trial.crashes == crashes);
-        let mut trial = known.unwrap_or_else(|| {
-            let turn = turn(crashes);
-            let last_crash = self.counting().map(|crash| crash.at).max();
-            Trial {
-                crashes,
-                at: last_crash.unwrap_or(now) + delay + turn.wait,
-                period: turn.period,
-            }
-        });
-        let allowed_at = trial.at.max(self.held_until.unwrap_or(trial.at));
-        let left = allowed_at.saturating_duration_since(now);
-        if left.is_zero() {
-            trial.at = now + trial.period.max(delay);
-        }
-        self.trial = Some(trial);
+        let last_crash = self.counting().map(|crash| crash.at).max();
+        let last_crash = last_crash.unwrap_or(now);
+        let left = self.trials.make(crashes, last_crash, delay, turn, now);
         if left.is_zero() {
             Verdict::Trial
         } else {
@@ -239,18 +139,3 @@
         self.last_reported
     }
 }
-
-/// Returns the crashes, oldest first, without those that have a cause in common with one before.
-pub fn crashes_apart<'a>(
-    crashes: impl Iterator<Item = &'a Crash>,
-    common_cause_window: Duration,
-) -> SmallVec<[&'a Crash; MAX_KEPT_CRASHES]> {
-    let mut apart: SmallVec<[&Crash; MAX_KEPT_CRASHES]> = SmallVec::new();
-    for crash in crashes {
-        let mut earlier = apart.iter();
-        if !earlier.any(|earlier| crash.has_common_cause(earlier, common_cause_window)) {
-            apart.push(crash);
-        }
-    }
-    apart
-}
--- a/src/process/quarantine/evidence_table.rs
+++ b/src/process/quarantine/evidence_table.rs
@@ -8,9 +8,9 @@
 
 use crate::prelude::*;
 use crate::process::message::{CrashId, CrashReport};
-use crate::process::quarantine::evidence::{
-    Crash, Evidence, EvidenceRule, TrialTurn, Verdict, crashes_apart,
-};
+use crate::process::quarantine::crash::{Crash, crashes_apart};
+use crate::process::quarantine::evidence::{Evidence, EvidenceRule};
+use crate::process::quarantine::trials::{TrialTurn, Verdict};
 
 /// What came of a sign that requests did not cause the crashes held against them.
 #[derive(Debug, Default, Clone)]
--- a/src/process/quarantine/part_table.rs
+++ b/src/process/quarantine/part_table.rs
@@ -6,8 +6,10 @@
 use crate::prelude::*;
 use crate::process::message::{CrashId, CrashReport};
 use crate::process::quarantine::SAME_CRASH_WINDOW;
-use crate::process::quarantine::evidence::{Crash, Evidence, EvidenceRule, TrialTurn, Verdict};
+use crate::process::quarantine::crash::Crash;
+use crate::process::quarantine::evidence::{Evidence, EvidenceRule};
 use crate::process::quarantine::evidence_table::{Dismissal, EvidenceTable};
+use crate::process::quarantine::trials::{TrialTurn, Verdict};
 
 /// The number of crashes from which requests with a part are refused.
 pub const MIN_PART_CRASHES: usize = 3;
