Bound the crashes that a report tells

A report that exceeds 60 KB is not sent at all, and it named each crash of the last 3 s. A host, or the relay of a data centre, that lost some 900 requests with their parts would have been silent to the others for 3 s, grants to customers included.

A report tells the newest 256 crashes, and as many dismissed ones.

--- a/src/process/forwarding/fleet/crashes.rs
+++ b/src/process/forwarding/fleet/crashes.rs
@@ -19,8 +19,15 @@
 /// The time between the first trials of two hosts, apart from that in which one hears of the other's.
 const TRIAL_TURN: Duration = Duration::from_millis(100);
 
-/// The most dismissed crashes that a report tells; they fit into a datagram beside the rest of a report.
-const MAX_REPORTED_DISMISSALS: usize = 256;
+/// The most crashes that a report tells, and the most dismissed ones; both fit into a datagram beside the rest of a report.
+const MAX_REPORTED_CRASHES: usize = 256;
+
+/// Returns the newest pieces of news, which are last, as many as a report tells. Evidence needs few of the requests that a crash breaks
+/// off.
+fn newest_crashes<T>(mut news: Vec<T>) -> Vec<T> {
+    news.drain(..news.len().saturating_sub(MAX_REPORTED_CRASHES));
+    news
+}
 
 /// Logs which crashes no longer count, against a request or a part of a prompt, and what was seen. Returns their requests.
 fn log_dismissal(
@@ -221,10 +228,7 @@
 
     /// Returns the crashes recently found not to count within `reach`, to report them.
     pub(super) fn recently_dismissed(&self, reach: Reach, now: Instant) -> Vec<CrashId> {
-        let mut crashes = lock(&self.dismissed_crashes).within(reach, now);
-        // The newest ones; other hosts have heard of the others meanwhile.
-        crashes.drain(..crashes.len().saturating_sub(MAX_REPORTED_DISMISSALS));
-        crashes
+        newest_crashes(lock(&self.dismissed_crashes).within(reach, now))
     }
 
     /// Returns the crashes of a part as far as they count, to store them; empty unless the part is suspected.
@@ -258,6 +262,6 @@
         let mut reports = lock(&self.crash_reports).within(reach, now);
         let dismissed = lock(&self.dismissed_crashes);
         reports.retain(|report| !dismissed.contains(&report.id()));
-        reports
+        newest_crashes(reports)
     }
 }
--- a/tests/suite/crash_evidence_fleet.rs
+++ b/tests/suite/crash_evidence_fleet.rs
@@ -3,11 +3,16 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use hibiscusspread::connection::forward::reports::{decode_report, encode_report};
 use hibiscusspread::prelude::*;
+use hibiscusspread::process::forwarding::fleet::FleetState;
+use hibiscusspread::process::forwarding::peers::HostReport;
+use hibiscusspread::process::forwarding::settings::ForwardingSettings;
 use hibiscusspread::process::forwarding::source::Reach;
 use hibiscusspread::process::message::CrashReport;
 use hibiscusspread::process::quarantine::Verdict;
 
+use crate::forward_fleet::report;
 use crate::forward_relay_fleet::{DIRECT, Host, RELAYED, RelayFleet, Reporting};
 
 const FINGERPRINT: Digest = [1; 32];
@@ -169,3 +174,33 @@
         assert_eq!(refusing(&fleet).len(), count, "{reporting:?}");
     }
 }
+
+/// Guards against a host that falls silent to all others because a disruption broke off more requests than fit into a datagram.
+#[test]
+fn many_crashes_fit_into_a_report() {
+    let state = FleetState::new(&ForwardingSettings::default());
+    let now = Instant::now();
+    for request in 0..2000 {
+        let report = CrashReport {
+            fingerprint: FINGERPRINT,
+            request: request << 100,
+            attempt: 1,
+            upstream: "i-3cee9b9093".into(),
+        };
+        state.record_crash(&report, Reach::Host, now);
+    }
+    let sent = HostReport {
+        crashes: state.recent_crashes(Reach::Host, now),
+        ..report("host-a", 7, 3)
+    };
+    assert!(encode_report(&sent).is_ok());
+    state.record_sound(&[FINGERPRINT], now + NEWS_TIME, now + NEWS_TIME);
+    let sections = state.report_sections(Reach::Host, now + NEWS_TIME);
+    let sent = HostReport {
+        crashes: state.recent_crashes(Reach::Host, now + NEWS_TIME),
+        sections,
+        ..report("host-a", 7, 3)
+    };
+    let bytes = encode_report(&sent).expect("report fits");
+    assert_eq!(decode_report(&bytes), Ok(sent));
+}
