--- a/tests/suite/crash_evidence_fleet.rs
+++ b/tests/suite/crash_evidence_fleet.rs
@@ -175,6 +175,28 @@
     }
 }
 
+/// Guards against hosts that start anew or were cut off, hear of crashes late, and refuse requests for those that no longer count.
+#[test]
+fn late_hosts_hear_of_no_dismissed_crashes() {
+    let mut fleet = RelayFleet::start_with(DIRECT, 9, Vec::new(), true);
+    fleet.run(NEWS_TIME);
+    fleet.set_cut_off(3, true);
+    for request in 0..2 {
+        crash(&fleet, 0, request);
+    }
+    fleet.run(Duration::from_millis(200));
+    let state = &fleet.hosts[0].state;
+    state.record_sound(&[FINGERPRINT], fleet.now(), fleet.now());
+    fleet.run(Duration::from_millis(500));
+    fleet.set_cut_off(3, false);
+    fleet.restart(4);
+    fleet.run(NEWS_TIME);
+    assert!(refusing(&fleet).is_empty());
+    crash(&fleet, 0, 10);
+    fleet.run(NEWS_TIME);
+    assert!(refusing(&fleet).is_empty());
+}
+
 /// Guards against a host that falls silent to all others because a disruption broke off more requests than fit into a datagram.
 #[test]
 fn many_crashes_fit_into_a_report() {
